Core: Decide requests, health, allowance and freshness without a clock

Freshness by store read or by a majority's statements dated with echoes, instead of serving stale, fencing on store loss alone, or a read per request. Allowance as conserved shares lent by a home per shard, instead of a static split or a central counter. Gray detection by sequential tests against the service's own rates, instead of consecutive failures.

--- /dev/null
+++ b/Source/Core/allowance.h
@@ -0,0 +1,233 @@
+// A team's rate and burst as a conserved quantity that moves between hosts.
+//
+// A share is a part of a team's token bucket: a part of its rate, a part of its
+// burst and some tokens. Parts are moved, never copied: over any window a set
+// of shares admits at most the sum of their bursts plus the sum of their rates
+// times the window, however often they were moved.
+//
+// Each team has a home host, which owns what no holder has been lent. A holder
+// reports what it holds and needs; the home answers with a grant. The home
+// records a loan before it sends the grant, and a holder deducts what it gives
+// back before it reports, so a lost message can only lose allowance until the
+// next report restores the balance.
+
+#pragma once
+
+#include "Core/configuration.h"
+#include "Core/core_time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace almondmoor {
+
+struct share {
+    double ratePerSecond = 0;
+    double burst = 0;
+    // Invariant: 0 <= tokens <= burst.
+    double tokens = 0;
+    instant updatedAt;
+
+    // Adds the tokens that have accrued since the last call, up to the burst.
+    void accrue(instant now);
+
+    // Takes one token if there is one.
+    bool take(instant now);
+};
+
+// What a holder tells a team's home. Holdings are absolute, after deducting
+// what is given back.
+struct share_report {
+    std::string team;
+    // Epoch of the home's assignment that the holder knows.
+    config_version epoch = 0;
+    // Grows with each report of this holder about this team; only the answer to
+    // the newest one is used.
+    std::uint64_t sequence = 0;
+    double ratePerSecond = 0;
+    double burst = 0;
+    double returnedTokens = 0;
+    // Requests per second that arrive at the holder, refused ones included.
+    double demandPerSecond = 0;
+    // Tokens wanted for requests that wait now.
+    double wantedTokens = 0;
+    // Tokens still held, at most the burst.
+    double heldTokens = 0;
+};
+
+// What a home answers.
+struct share_grant {
+    std::string team;
+    config_version epoch = 0;
+    std::uint64_t sequence = 0;
+    double addedRate = 0;
+    double addedBurst = 0;
+    double addedTokens = 0;
+    // What the holder should keep at most; it returns the rest with its next report.
+    double targetRate = 0;
+    double targetBurst = 0;
+};
+
+struct allowance_settings {
+    // Time over which a holder's demand is averaged.
+    duration demandWindow = std::chrono::seconds(1);
+    // A holder with no demand for this long gives everything back.
+    duration idleAfter = std::chrono::seconds(5);
+    // Least time between two reports about one team.
+    duration reportSpacing = std::chrono::milliseconds(10);
+    // Ordinary time between two reports about one team.
+    duration reportInterval = std::chrono::milliseconds(250);
+    // Time for which a share of an earlier epoch may be used before its new
+    // home has registered it.
+    duration registrationGrace = std::chrono::seconds(2);
+    // A holder keeps a part of the rate only from this demand on; below it, it
+    // borrows whole tokens.
+    double leastDemandForRate = 2.0;
+};
+
+// The shares that one host holds.
+class allowance_holder {
+public:
+    explicit allowance_holder(allowance_settings settings)
+        : m_settings(settings)
+    {
+    }
+
+    // Counts an arriving request of a team.
+    void noteDemand(const std::string& team, instant now);
+
+    // Takes one token of a team's share. The caller has checked freshness.
+    bool take(const std::string& team, instant now);
+
+    // Gives back a token whose request was never dispatched.
+    void putBack(const std::string& team, instant now);
+
+    // Sets how many requests wait for tokens of a team.
+    void setWanted(const std::string& team, unsigned waiting);
+
+    // Adapts to a newer configuration. Shares whose home has changed must be
+    // registered with the new home within the grace time. They are void at once
+    // if the host was not fresh when it learned of the change.
+    void adopt(const configuration&, bool wasFresh, instant now);
+
+    // Returns the reports that are due and deducts what they give back.
+    std::vector<share_report> dueReports(instant now);
+
+    // Gives back everything, for a planned stop.
+    std::vector<share_report> finalReports(instant now);
+
+    // Adds a grant. An answer to any but the newest report is ignored, which is
+    // what makes late and repeated answers harmless.
+    void applyGrant(const share_grant&, instant now);
+
+    // Returns what is held of a team, after accrual.
+    share held(const std::string& team, instant now);
+
+    std::size_t teamCount() const { return m_rows.size(); }
+
+private:
+    struct row {
+        share held;
+        config_version epoch = 0;
+        std::uint64_t sequence = 0;
+        double demandPerSecond = 0;
+        instant demandAt = longAgo;
+        instant lastArrivalAt = longAgo;
+        std::optional<instant> reportedAt;
+        // Set while the share awaits registration with a new home.
+        std::optional<instant> voidAt;
+        unsigned waiting = 0;
+        double targetRate = 0;
+        double targetBurst = 0;
+    };
+
+    void decayDemand(row&, instant now) const;
+    void dropIfVoid(row&, instant now) const;
+    bool isReportDue(const row&, instant now) const;
+    bool isIdle(const row&, instant now) const;
+    share_report report(const std::string& team, row&, bool returnAll, instant now);
+
+    allowance_settings m_settings;
+    std::map<std::string, row> m_rows;
+    std::map<unsigned, config_version> m_epochs;
+    // Reports are numbered across all teams so that a row that was dropped and
+    // made again never reuses a number.
+    std::uint64_t m_nextSequence = 1;
+};
+
+// The allowance of the teams whose home is this host.
+class allowance_home {
+public:
+    allowance_home(allowance_settings settings, duration fence)
+        : m_settings(settings)
+        , m_fence(fence)
+    {
+    }
+
+    // Adapts to a newer configuration: takes over shards, drops lost ones,
+    // follows changed rates, and notes holders that left the roster.
+    void adopt(const configuration&, const std::string& self, std::uint64_t selfIncarnation, instant now);
+
+    // Tells up to which version a majority of the roster is known to hold the
+    // log, which starts the fences of takeovers and of lost holders.
+    void noteConfirmed(config_version, instant now);
+
+    // Answers a holder's report, or returns nothing if this host is not the
+    // team's home at the report's epoch or the report is old.
+    std::optional<share_grant> answer(const std::string& holder, std::uint64_t holderIncarnation, const share_report&, instant now);
+
+    std::size_t teamCount() const { return m_rows.size(); }
+
+    // Returns the sum of what holders have been lent of a team.
+    share lent(const std::string& team) const;
+
+private:
+    struct holder_key {
+        std::string name;
+        std::uint64_t incarnation = 0;
+        auto operator<=>(const holder_key&) const = default;
+    };
+
+    struct loan {
+        double ratePerSecond = 0;
+        double burst = 0;
+        std::uint64_t sequence = 0;
+        double demandPerSecond = 0;
+        instant reportedAt = longAgo;
+        // The version at which the holder was gone from the roster, and the
+        // instant from which its share is surely unused.
+        std::optional<config_version> goneAt;
+        std::optional<instant> reclaimAt;
+    };
+
+    struct row {
+        double ratePerSecond = 0;
+        double burst = 0;
+        config_version epoch = 0;
+        // The part of the bucket that no holder has.
+        share pool;
+        std::map<holder_key, loan> loans;
+        // True from a takeover until every share of the earlier epoch is
+        // registered here or void; nothing is granted meanwhile.
+        bool inCensus = false;
+        std::optional<instant> censusEndsAt;
+    };
+
+    void settle(row&, instant now) const;
+    static double totalDemand(const row&, duration window, instant now);
+
+    allowance_settings m_settings;
+    // Time after the confirmation of a version until every host holds it or has
+    // stopped using its shares.
+    duration m_fence;
+    std::map<std::string, row> m_rows;
+    // Shards whose home this host was when it last adopted a configuration. A
+    // team that appears in one of them later is new and inherits nothing.
+    std::map<unsigned, config_version> m_shards;
+    config_version m_confirmed = 0;
+};
+
+} // namespace almondmoor
--- /dev/null
+++ b/Source/Core/fleet_member.cxx
@@ -0,0 +1,499 @@
+#include "Core/fleet_member.h"
+
+#include "Core/command.h"
+#include "Core/rendezvous.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr std::size_t changesPerMessage = 200;
+    constexpr std::size_t originsRemembered = 64;
+    constexpr std::size_t bootstrapFanOut = 3;
+
+    std::uint32_t ageInMs(instant at, instant now)
+    {
+        const auto age = std::chrono::ceil<std::chrono::milliseconds>(std::max(duration::zero(), now - at));
+        return static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), UINT32_MAX));
+    }
+
+    instant fromAge(std::uint32_t ageMs, instant base)
+    {
+        return base - std::chrono::milliseconds(ageMs);
+    }
+
+} // namespace
+
+fleet_member::fleet_member(member_settings settings)
+    : m_settings(std::move(settings))
+    , m_held(std::make_shared<configuration>())
+    , m_freshness(m_settings.freshness)
+    , m_home(m_settings.allowance, m_settings.freshness.limit + m_settings.freshness.driftMargin)
+{
+}
+
+bool fleet_member::isHeard(const std::string& host, instant now) const
+{
+    return host == m_settings.host || now - lastHeardAt(host) <= m_settings.suspectAfter;
+}
+
+instant fleet_member::lastHeardAt(const std::string& host) const
+{
+    instant latest = longAgo;
+    const auto peer = m_peers.find(host);
+    if (peer != m_peers.end() && peer->second.heardAt)
+        latest = *peer->second.heardAt;
+    const auto statement = m_freshness.statements().find(host);
+    if (statement != m_freshness.statements().end())
+        latest = std::max(latest, statement->second.at);
+    // A host that has just joined gets the benefit of the doubt.
+    const auto joined = m_joinedAt.find(host);
+    return joined == m_joinedAt.end() ? latest : std::max(latest, joined->second.at);
+}
+
+std::vector<std::string> fleet_member::relaysOf(const std::string& dataCentre, instant now) const
+{
+    std::vector<std::string> members;
+    for (const auto& [name, member] : m_held->hosts()) {
+        if (member.dataCentre == dataCentre && !member.draining)
+            members.push_back(name);
+    }
+    auto order = rendezvousOrder("relay", std::move(members));
+    std::stable_partition(order.begin(), order.end(), [&](const auto& name) { return isHeard(name, now); });
+    order.resize(std::min<std::size_t>(order.size(), m_settings.relaysPerDataCentre));
+    return order;
+}
+
+bool fleet_member::isRelay(instant now) const
+{
+    const auto relays = relaysOf(m_settings.dataCentre, now);
+    return isInRoster() && std::find(relays.begin(), relays.end(), m_settings.host) != relays.end();
+}
+
+bool fleet_member::isRelayNamed(const std::string& host, instant now) const
+{
+    const auto member = m_held->hosts().find(host);
+    if (member == m_held->hosts().end())
+        return false;
+    const auto relays = relaysOf(member->second.dataCentre, now);
+    return std::find(relays.begin(), relays.end(), host) != relays.end();
+}
+
+bool fleet_member::isInRoster() const
+{
+    const auto found = m_held->hosts().find(m_settings.host);
+    return found != m_held->hosts().end() && found->second.incarnation == m_settings.incarnation;
+}
+
+std::vector<std::string> fleet_member::exchangePeers(instant now) const
+{
+    std::set<std::string> peers;
+    for (const auto& name : relaysOf(m_settings.dataCentre, now))
+        peers.insert(name);
+    if (isRelay(now) || peers.empty()) {
+        std::set<std::string> dataCentres;
+        for (const auto& [name, member] : m_held->hosts())
+            dataCentres.insert(member.dataCentre);
+        for (const auto& dataCentre : dataCentres) {
+            for (const auto& name : relaysOf(dataCentre, now))
+                peers.insert(name);
+        }
+    }
+    peers.erase(m_settings.host);
+    return { peers.begin(), peers.end() };
+}
+
+outgoing_message fleet_member::envelope(message_kind kind, const std::string& peer, peer_message message) const
+{
+    const auto found = m_held->hosts().find(peer);
+    std::string to = found == m_held->hosts().end() ? std::string() : found->second.peerAddress;
+    return outgoing_message { kind, peer, std::move(to), std::move(message) };
+}
+
+peer_message fleet_member::makeMessage(const std::string& to, bool withStatements, instant now)
+{
+    peer_message message;
+    message.sender = m_settings.host;
+    message.incarnation = m_settings.incarnation;
+    message.dataCentre = m_settings.dataCentre;
+    message.version = m_held->version();
+    message.stamp = now.time_since_epoch().count();
+    const auto peer = m_peers.find(to);
+    if (peer != m_peers.end()) {
+        message.echo = peer->second.lastStamp;
+        message.echoIncarnation = peer->second.incarnation;
+    }
+    if (m_freshness.storeReadAt())
+        message.storeRead = relayed_store_read { true, m_freshness.storeHead(), ageInMs(*m_freshness.storeReadAt(), now) };
+    if (!withStatements)
+        return message;
+    for (const auto& [name, statement] : m_freshness.statements()) {
+        if (name != to && now - statement.at <= m_settings.freshness.limit)
+            message.statements.push_back(relayed_statement { name, statement.incarnation, statement.version, ageInMs(statement.at, now) });
+    }
+    return message;
+}
+
+void fleet_member::addChanges(peer_message& message, config_version after) const
+{
+    if (after >= m_held->version())
+        return;
+    const config_version oldest = m_history.empty() ? m_held->version() + 1 : m_history.front().version;
+    if (after + 1 < oldest) {
+        message.snapshotVersion = m_held->version();
+        message.snapshot = m_held->snapshotCommands();
+        return;
+    }
+    for (const change& it : m_history) {
+        if (it.version > after && message.changes.size() < changesPerMessage)
+            message.changes.push_back(it);
+    }
+}
+
+void fleet_member::addEvidence(peer_message& message, const std::string& to, bool ownOnly)
+{
+    peer_row& peer = m_peers[to];
+    for (const logged_evidence& it : m_evidence) {
+        if (it.index <= peer.evidenceSent || it.learnedFrom == to || it.report.origin == to)
+            continue;
+        if (!ownOnly || it.report.origin == m_settings.host)
+            message.evidence.push_back(it.report);
+    }
+    peer.evidenceSent = m_nextEvidence - 1;
+}
+
+bool fleet_member::isNewEvidence(const evidence_report& report)
+{
+    origin_row& origin = m_origins[report.origin];
+    if (report.originIncarnation < origin.incarnation)
+        return false;
+    if (report.originIncarnation > origin.incarnation)
+        origin = origin_row { report.originIncarnation, {} };
+    const bool isTooOld = origin.recent.size() >= originsRemembered && report.sequence < *origin.recent.begin();
+    if (isTooOld || !origin.recent.insert(report.sequence).second)
+        return false;
+    if (origin.recent.size() > originsRemembered)
+        origin.recent.erase(origin.recent.begin());
+    return true;
+}
+
+void fleet_member::logEvidence(const evidence_report& report, const std::string& from)
+{
+    m_evidence.push_back(logged_evidence { m_nextEvidence++, from, report });
+    if (m_evidence.size() > m_settings.evidenceLength)
+        m_evidence.pop_front();
+}
+
+void fleet_member::adopted(member_effects& effects, bool wasFresh, instant now)
+{
+    effects.advanced = true;
+    effects.wasFresh = wasFresh;
+    m_freshness.forgetOthersThan(m_held->hosts());
+    std::erase_if(m_joinedAt, [this](const auto& entry) { return !m_held->hosts().count(entry.first); });
+    for (const auto& [name, member] : m_held->hosts()) {
+        joined_row& joined = m_joinedAt[name];
+        if (joined.incarnation != member.incarnation)
+            joined = joined_row { member.incarnation, now };
+    }
+    m_home.adopt(*m_held, m_settings.host, m_settings.incarnation, now);
+}
+
+bool fleet_member::advance(const std::vector<change>& changes, member_effects& effects, instant now)
+{
+    const bool wasFresh = isFresh(now);
+    std::shared_ptr<configuration> next;
+    for (const change& it : changes) {
+        const config_version have = next ? next->version() : m_held->version();
+        if (it.version != have + 1)
+            continue;
+        if (!next)
+            next = std::make_shared<configuration>(*m_held);
+        if (!next->apply(it).ok())
+            break;
+        m_history.push_back(it);
+        if (m_history.size() > m_settings.historyLength)
+            m_history.pop_front();
+    }
+    if (!next || next->version() == m_held->version())
+        return false;
+    m_held = std::move(next);
+    adopted(effects, wasFresh, now);
+    return true;
+}
+
+member_effects fleet_member::noteSnapshot(const configuration& snapshot, instant now)
+{
+    member_effects effects;
+    if (snapshot.version() <= m_held->version())
+        return effects;
+    const bool wasFresh = isFresh(now);
+    m_held = std::make_shared<configuration>(snapshot);
+    m_history.clear();
+    adopted(effects, wasFresh, now);
+    return effects;
+}
+
+void fleet_member::push(member_effects& effects, bool toOtherDataCentres, instant now)
+{
+    std::set<std::string> targets;
+    const bool relay = isRelay(now);
+    std::set<std::string> dataCentres;
+    for (const auto& [name, member] : m_held->hosts()) {
+        dataCentres.insert(member.dataCentre);
+        if (relay && member.dataCentre == m_settings.dataCentre)
+            targets.insert(name);
+    }
+    for (const auto& dataCentre : dataCentres) {
+        if (!toOtherDataCentres && dataCentre != m_settings.dataCentre)
+            continue;
+        for (const auto& name : relaysOf(dataCentre, now))
+            targets.insert(name);
+    }
+    targets.erase(m_settings.host);
+    for (const auto& name : targets) {
+        const auto known = m_freshness.statements().find(name);
+        const config_version theirs = known == m_freshness.statements().end() ? 0 : known->second.version;
+        if (theirs >= m_held->version())
+            continue;
+        peer_message message = makeMessage(name, false, now);
+        addChanges(message, theirs);
+        effects.messages.push_back(envelope(message_kind::Push, name, std::move(message)));
+    }
+}
+
+void fleet_member::noteDates(const peer_message& message, instant now)
+{
+    peer_row& peer = m_peers[message.sender];
+    const bool isOldIncarnation = message.incarnation < peer.incarnation;
+    if (isOldIncarnation)
+        return;
+    if (message.incarnation > peer.incarnation)
+        peer = peer_row { 0, message.incarnation, 0, std::nullopt };
+    peer.lastStamp = std::max(peer.lastStamp, message.stamp);
+    peer.heardAt = now;
+
+    // Without an echo of this incarnation the message may be of any age: what
+    // it says of versions holds, but it dates nothing.
+    const bool isDated = message.echo != 0 && message.echoIncarnation == m_settings.incarnation;
+    const instant youngerThan = isDated ? instant(duration(message.echo)) : longAgo;
+    m_freshness.noteStatement(version_statement { message.sender, message.incarnation, message.version, youngerThan });
+    if (!isDated)
+        return;
+    if (message.storeRead.isKnown)
+        m_freshness.noteStoreRead(fromAge(message.storeRead.ageMs, youngerThan), message.storeRead.head);
+    for (const relayed_statement& it : message.statements) {
+        if (it.host != m_settings.host)
+            m_freshness.noteStatement(version_statement { it.host, it.incarnation, it.version, fromAge(it.ageMs, youngerThan) });
+    }
+}
+
+member_effects fleet_member::receive(const peer_message& message, instant now)
+{
+    member_effects effects;
+    if (!message.snapshot.empty() && message.snapshotVersion > m_held->version()) {
+        const auto snapshot = configuration::fromSnapshot(message.snapshotVersion, message.snapshot);
+        if (snapshot.ok())
+            effects = noteSnapshot(*snapshot, now);
+    }
+    advance(message.changes, effects, now);
+    noteDates(message, now);
+
+    for (const evidence_report& report : message.evidence) {
+        if (report.origin == m_settings.host || !isNewEvidence(report))
+            continue;
+        for (const work_sample& sample : report.samples)
+            effects.samples.push_back(remote_sample { report.origin, report.dataCentre, sample });
+        logEvidence(report, message.sender);
+    }
+    effects.grants = message.shareGrants;
+    if (effects.advanced)
+        push(effects, false, now);
+    return effects;
+}
+
+peer_message fleet_member::reply(const peer_message& request, instant now)
+{
+    peer_message message = makeMessage(request.sender, true, now);
+    message.echo = request.stamp;
+    message.echoIncarnation = request.incarnation;
+    addChanges(message, request.version);
+    if (request.wantsEvidence)
+        addEvidence(message, request.sender, false);
+    for (const share_report& report : request.shareReports) {
+        if (auto grant = m_home.answer(request.sender, request.incarnation, report, now))
+            message.shareGrants.push_back(std::move(*grant));
+    }
+    return message;
+}
+
+member_effects fleet_member::sendReports(std::vector<share_report> reports, instant now)
+{
+    member_effects effects;
+    std::map<std::string, peer_message> byHome;
+    for (share_report& report : reports) {
+        const auto home = m_held->shardHomes().find(shardOf(report.team));
+        if (home == m_held->shardHomes().end())
+            continue;
+        const std::string& name = home->second.host;
+        if (name == m_settings.host) {
+            if (auto grant = m_home.answer(name, m_settings.incarnation, report, now))
+                effects.grants.push_back(std::move(*grant));
+            continue;
+        }
+        const auto [entry, isNew] = byHome.try_emplace(name);
+        if (isNew)
+            entry->second = makeMessage(name, false, now);
+        entry->second.shareReports.push_back(std::move(report));
+    }
+    for (auto& [name, message] : byHome)
+        effects.messages.push_back(envelope(message_kind::Shares, name, std::move(message)));
+    return effects;
+}
+
+member_effects fleet_member::tick(std::vector<share_report> reports, std::vector<work_sample> samples, instant now)
+{
+    if (!samples.empty())
+        logEvidence(evidence_report { m_settings.host, m_settings.incarnation, m_settings.dataCentre, m_nextReport++, std::move(samples) }, "");
+    if (isConfirmed(m_held->version()))
+        m_home.noteConfirmed(m_held->version(), now);
+
+    member_effects effects = sendReports(std::move(reports), now);
+    const bool isDue = !m_exchangedAt || now - *m_exchangedAt >= m_settings.exchangeInterval;
+    if (!isDue)
+        return effects;
+    m_exchangedAt = now;
+    const bool relay = isRelay(now);
+    bool isFirst = true;
+    for (const auto& name : exchangePeers(now)) {
+        peer_message message = makeMessage(name, relay, now);
+        message.wantsEvidence = relay || isFirst;
+        addEvidence(message, name, !relay);
+        const auto known = m_freshness.statements().find(name);
+        if (known != m_freshness.statements().end())
+            addChanges(message, known->second.version);
+        effects.messages.push_back(envelope(message_kind::Exchange, name, std::move(message)));
+        isFirst = false;
+    }
+    if (m_held->hosts().empty()) {
+        const std::size_t count = std::min(m_bootstrapPeers.size(), bootstrapFanOut);
+        for (std::size_t index = 0; index < count; ++index) {
+            const known_peer& peer = m_bootstrapPeers[index];
+            effects.messages.push_back(outgoing_message { message_kind::Exchange, peer.name, peer.address, makeMessage(peer.name, false, now) });
+        }
+    }
+    return effects;
+}
+
+bool fleet_member::isStorePollDue(instant now) const
+{
+    if (m_storePolledAt && now - *m_storePolledAt < m_settings.storePollInterval)
+        return false;
+    if (isRelay(now) || !isInRoster())
+        return true;
+    // Hosts that hear nothing in time look for themselves.
+    const auto evidence = m_freshness.evidenceAt(*m_held, m_settings.host, m_settings.incarnation, now);
+    return !evidence || now - *evidence > m_settings.freshness.limit / 2;
+}
+
+member_effects fleet_member::noteStoreRead(instant askedAt, config_version head, const std::vector<change>& changes, instant now)
+{
+    member_effects effects;
+    advance(changes, effects, now);
+    m_freshness.noteStoreRead(askedAt, head);
+    if (effects.advanced)
+        push(effects, true, now);
+    return effects;
+}
+
+bool fleet_member::isProposer(instant now) const
+{
+    std::vector<std::string> candidates;
+    for (const auto& [name, member] : m_held->hosts()) {
+        if (!member.draining && isHeard(name, now))
+            candidates.push_back(name);
+    }
+    // Heard hosts differ a little from host to host; the store's condition on
+    // the head lets only one of several proposers win.
+    const auto order = rendezvousOrder("proposer", std::move(candidates));
+    return isInRoster() && !order.empty() && order.front() == m_settings.host;
+}
+
+std::vector<std::string> fleet_member::proposals(instant now) const
+{
+    std::vector<std::string> commands;
+    const bool mayPropose = isRelay(now) && mayChangeRoster() && hasReachableMajority(now) && isFresh(now);
+    if (mayPropose) {
+        for (const auto& [name, member] : m_held->hosts()) {
+            const bool isUnheard = now - lastHeardAt(name) > m_settings.deadAfter;
+            if (name != m_settings.host && isUnheard && commands.empty())
+                commands.push_back(formatCommand(leave_host { name, member.incarnation }));
+        }
+    }
+    if (!isProposer(now) || !commands.empty())
+        return commands;
+
+    std::vector<std::string> candidates;
+    for (const auto& [name, member] : m_held->hosts()) {
+        if (!member.draining)
+            candidates.push_back(name);
+    }
+    std::map<std::string, assign_shards> byHost;
+    for (unsigned shard = 0; shard < shardCount; ++shard) {
+        const auto home = m_held->shardHomes().find(shard);
+        const bool isAssigned = home != m_held->shardHomes().end();
+        const auto member = isAssigned ? m_held->hosts().find(home->second.host) : m_held->hosts().end();
+        const bool isKept = member != m_held->hosts().end() && member->second.incarnation == home->second.incarnation && !member->second.draining;
+        if (isKept)
+            continue;
+        const auto order = rendezvousOrder(absl::StrCat("shard/", shard), candidates);
+        assign_shards& it = byHost[absl::StrCat(order.front(), isAssigned ? "" : " unused")];
+        it.shards.push_back(shard);
+        it.host = order.front();
+        it.incarnation = m_held->hosts().at(it.host).incarnation;
+        it.inherited = isAssigned;
+    }
+    for (const auto& [name, it] : byHost)
+        commands.push_back(formatCommand(it));
+    return commands;
+}
+
+instant fleet_member::freshUntil(instant now) const
+{
+    const auto evidence = m_freshness.evidenceAt(*m_held, m_settings.host, m_settings.incarnation, now);
+    return evidence ? *evidence + m_settings.freshness.limit : longAgo;
+}
+
+bool fleet_member::isFresh(instant now) const
+{
+    return now <= freshUntil(now);
+}
+
+bool fleet_member::mayChangeRoster() const
+{
+    return isConfirmed(m_held->version());
+}
+
+bool fleet_member::isConfirmed(config_version version) const
+{
+    return m_freshness.isConfirmed(version, *m_held, m_settings.host, m_settings.incarnation);
+}
+
+bool fleet_member::hasReachableMajority(instant now) const
+{
+    return m_freshness.hasReachableMajority(*m_held, m_settings.host, m_settings.incarnation, now);
+}
+
+std::size_t fleet_member::holdersOf(config_version version) const
+{
+    return m_freshness.holdersOf(version, *m_held, m_settings.host, m_settings.incarnation);
+}
+
+std::vector<std::string> fleet_member::hostsWithout(config_version version) const
+{
+    return m_freshness.hostsWithout(version, *m_held, m_settings.host);
+}
+
+} // namespace almondmoor
--- /dev/null
+++ b/Source/Core/gray_router.cxx
@@ -0,0 +1,124 @@
+#include "Core/gray_router.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr unsigned tierCount = 3;
+
+    unsigned tierOf(const std::string& own, const std::string& other)
+    {
+        if (own == other)
+            return 0;
+        return regionOf(own) == regionOf(other) ? 1 : 2;
+    }
+
+} // namespace
+
+std::string regionOf(const std::string& dataCentre)
+{
+    return dataCentre.substr(0, dataCentre.rfind('-'));
+}
+
+void gray_router::adopt(const configuration& held, instant now)
+{
+    m_health.adopt(held, now);
+    m_byService.clear();
+    std::erase_if(m_loads, [&held](const auto& entry) { return !held.upstreams().count(entry.first) && entry.second.inFlight == 0; });
+    for (const auto& [address, row] : held.upstreams()) {
+        const auto [entry, isNew] = m_loads.try_emplace(address);
+        if (isNew)
+            entry->second.limit = row.slots;
+        entry->second.tier = m_settings.nearFirst ? tierOf(m_dataCentre, row.dataCentre) : 0;
+        m_byService[row.service].push_back(address);
+    }
+}
+
+bool gray_router::takesNewWork(const std::string& upstream) const
+{
+    const endpoint_row* row = m_health.find(upstream);
+    return row && row->duty == upstream_duty::Serving && row->state != endpoint_state::Ejected;
+}
+
+double gray_router::roomAt(const std::string& upstream, const load_row& load) const
+{
+    const endpoint_row* row = m_health.find(upstream);
+    if (!row || !takesNewWork(upstream))
+        return 0;
+    const double limit = std::max(m_settings.leastLimit, load.limit * row->weight);
+    return std::max(0.0, limit - load.inFlight);
+}
+
+std::optional<std::string> gray_router::pick(const std::string& service, const std::set<std::string>& tried, instant, std::mt19937_64& random)
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return std::nullopt;
+    std::array<std::vector<const std::string*>, tierCount> tiers;
+    std::array<std::vector<double>, tierCount> weights;
+    for (const std::string& upstream : found->second) {
+        const load_row& load = m_loads.at(upstream);
+        if (tried.count(upstream) || roomAt(upstream, load) <= 0)
+            continue;
+        const endpoint_row* row = m_health.find(upstream);
+        tiers[load.tier].push_back(&upstream);
+        weights[load.tier].push_back(row->weight * row->slots);
+    }
+    const auto tier = std::find_if(tiers.begin(), tiers.end(), [](const auto& it) { return !it.empty(); });
+    if (tier == tiers.end())
+        return std::nullopt;
+    const auto& tierWeights = weights[static_cast<std::size_t>(tier - tiers.begin())];
+    std::discrete_distribution<std::size_t> draw(tierWeights.begin(), tierWeights.end());
+    const auto relativeLoad = [this](const std::string& upstream) {
+        const load_row& load = m_loads.at(upstream);
+        return (load.inFlight + 1) / (load.limit * m_health.find(upstream)->weight);
+    };
+    const std::string& first = *(*tier)[draw(random)];
+    const std::string& second = *(*tier)[draw(random)];
+    const std::string& chosen = relativeLoad(second) < relativeLoad(first) ? second : first;
+    ++m_loads.at(chosen).inFlight;
+    return chosen;
+}
+
+void gray_router::unpick(const std::string& upstream)
+{
+    const auto found = m_loads.find(upstream);
+    if (found != m_loads.end() && found->second.inFlight > 0)
+        --found->second.inFlight;
+}
+
+void gray_router::finish(const std::string& upstream, work_result result, instant)
+{
+    const auto found = m_loads.find(upstream);
+    if (found == m_loads.end())
+        return;
+    load_row& load = found->second;
+    unpick(upstream);
+    const endpoint_row* row = m_health.find(upstream);
+    if (result == work_result::Shed)
+        load.limit = std::max(m_settings.leastLimit, load.limit * m_settings.shedFactor);
+    else if (result == work_result::Good && row)
+        load.limit = std::min<double>(row->slots, load.limit + 1 / std::max(load.limit, 1.0));
+}
+
+void gray_router::note(const std::string& host, const std::string& dataCentre, const work_sample& sample, instant now)
+{
+    m_health.note(host, dataCentre, sample, now);
+}
+
+unsigned gray_router::freeSlots(const std::string& service) const
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return 0;
+    double room = 0;
+    for (const std::string& upstream : found->second)
+        room += std::ceil(roomAt(upstream, m_loads.at(upstream)));
+    return static_cast<unsigned>(room);
+}
+
+} // namespace almondmoor
--- /dev/null
+++ b/Source/Core/rendezvous.h
@@ -0,0 +1,35 @@
+// Rendezvous (highest random weight) hashing with a hash that is the same on
+// every host and in every release.
+
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+#include <xxhash.h>
+
+namespace almondmoor {
+
+// Returns a 64-bit hash of a text that is stable across hosts and releases.
+inline std::uint64_t stableHash(std::string_view text, std::uint64_t seed = 0)
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+// Returns the candidates in the order in which a subject prefers them. All
+// hosts that know the same candidates compute the same order; removing one
+// candidate moves only what that candidate held.
+inline std::vector<std::string> rendezvousOrder(std::string_view subject, std::vector<std::string> candidates)
+{
+    const std::uint64_t seed = stableHash(subject);
+    std::sort(candidates.begin(), candidates.end(), [seed](const auto& left, const auto& right) {
+        const auto leftWeight = stableHash(left, seed);
+        const auto rightWeight = stableHash(right, seed);
+        return leftWeight != rightWeight ? leftWeight > rightWeight : left < right;
+    });
+    return candidates;
+}
+
+} // namespace almondmoor
