Host: Serve guests, operators and peers in one binary

Ruled out: Poco's HTTPServer and HTTPClientSession for guests and upstreams, since their parsers accept what a proxy must not (design.md section 9) and the client resends by itself. Poco's sockets, messages and poll set stay. Change: one poller holds idle and slow heads, workers hold complete requests; gRPC between hosts; commands serve, ctl, load.

--- /dev/null
+++ b/Source/byte_stream.cxx
@@ -0,0 +1,182 @@
+#include "byte_stream.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <ctime>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr std::size_t receiveSize = 64 * 1024;
+
+    int remainingMs(instant deadline)
+    {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - presentInstant());
+        return static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, 3'600'000));
+    }
+
+    absl::Status timedOut()
+    {
+        return absl::DeadlineExceededError("the deadline passed");
+    }
+
+    absl::Status ended()
+    {
+        return absl::OutOfRangeError("the connection ended");
+    }
+
+    bool waitFor(int descriptor, short events, instant deadline)
+    {
+        pollfd entry { descriptor, events, 0 };
+        while (true) {
+            const int ready = ::poll(&entry, 1, remainingMs(deadline));
+            if (ready > 0)
+                return true;
+            if (ready == 0 || errno != EINTR)
+                return false;
+        }
+    }
+
+} // namespace
+
+instant presentInstant()
+{
+    timespec now {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    const auto span = std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+    return instant(std::chrono::duration_cast<duration>(span));
+}
+
+byte_stream::byte_stream(Poco::Net::StreamSocket socket)
+    : m_socket(std::move(socket))
+{
+    m_socket.setBlocking(false);
+    m_socket.setNoDelay(true);
+}
+
+absl::Status byte_stream::connect(const std::string& address, instant deadline, Poco::Net::StreamSocket& socket)
+{
+    try {
+        const Poco::Timespan timeout(std::max<std::int64_t>(1, (deadline - presentInstant()).count()));
+        socket.connect(Poco::Net::SocketAddress(address), timeout);
+        return absl::OkStatus();
+    } catch (const Poco::TimeoutException&) {
+        return timedOut();
+    } catch (const Poco::Exception& error) {
+        return absl::UnavailableError(error.displayText());
+    }
+}
+
+void byte_stream::consume(std::size_t count)
+{
+    m_consumed += count;
+    if (m_consumed == m_buffer.size()) {
+        m_buffer.clear();
+        m_consumed = 0;
+    }
+}
+
+bool byte_stream::receiveAvailable()
+{
+    if (m_consumed > 0) {
+        m_buffer.erase(0, m_consumed);
+        m_consumed = 0;
+    }
+    const std::size_t before = m_buffer.size();
+    std::array<char, receiveSize> chunk;
+    const ssize_t count = ::recv(m_socket.impl()->sockfd(), chunk.data(), chunk.size(), 0);
+    if (count > 0)
+        m_buffer.append(chunk.data(), static_cast<std::size_t>(count));
+    const bool wouldBlock = count < 0 && (errno == EAGAIN || errno == EINTR);
+    return m_buffer.size() > before || wouldBlock;
+}
+
+absl::Status byte_stream::receive(instant deadline)
+{
+    const std::size_t before = buffered().size();
+    while (true) {
+        if (!receiveAvailable())
+            return ended();
+        if (buffered().size() > before)
+            return absl::OkStatus();
+        if (!waitFor(m_socket.impl()->sockfd(), POLLIN, deadline))
+            return timedOut();
+    }
+}
+
+absl::Status byte_stream::send(std::string_view bytes, instant deadline)
+{
+    while (!bytes.empty()) {
+        const ssize_t count = ::send(m_socket.impl()->sockfd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (count > 0) {
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+            continue;
+        }
+        if (errno != EAGAIN && errno != EINTR)
+            return ended();
+        if (!waitFor(m_socket.impl()->sockfd(), POLLOUT, deadline))
+            return timedOut();
+    }
+    return absl::OkStatus();
+}
+
+bool byte_stream::isIdleAndOpen()
+{
+    char byte = 0;
+    const ssize_t count = ::recv(m_socket.impl()->sockfd(), &byte, 1, MSG_PEEK);
+    return buffered().empty() && count < 0 && errno == EAGAIN;
+}
+
+bool byte_stream::isClosedByPeer()
+{
+    char byte = 0;
+    const ssize_t count = ::recv(m_socket.impl()->sockfd(), &byte, 1, MSG_PEEK);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+absl::Status byte_stream::waitReadableOrClosed(byte_stream& other, instant deadline)
+{
+    if (!buffered().empty())
+        return absl::OkStatus();
+    std::array<pollfd, 2> entries { { { m_socket.impl()->sockfd(), POLLIN, 0 }, { other.m_socket.impl()->sockfd(), POLLRDHUP, 0 } } };
+    while (true) {
+        const int ready = ::poll(entries.data(), entries.size(), remainingMs(deadline));
+        if (ready == 0)
+            return timedOut();
+        if (ready < 0 && errno != EINTR)
+            return ended();
+        if (entries[0].revents)
+            return absl::OkStatus();
+        if (entries[1].revents)
+            return absl::CancelledError("the guest went away");
+    }
+}
+
+void byte_stream::abort()
+{
+    try {
+        m_socket.setLinger(true, 0);
+    } catch (const Poco::Exception&) {
+        // The connection is gone already.
+    }
+    close();
+}
+
+void byte_stream::close()
+{
+    try {
+        m_socket.close();
+    } catch (const Poco::Exception&) {
+        // Closing is all that was wanted.
+    }
+}
+
+} // namespace almondmoor
--- /dev/null
+++ b/Source/key_guard.cxx
@@ -0,0 +1,92 @@
+#include "key_guard.h"
+
+#include "http_head.h"
+
+#include <Poco/DigestEngine.h>
+#include <Poco/Exception.h>
+#include <Poco/RandomStream.h>
+#include <Poco/SHA2Engine.h>
+#include <Poco/URI.h>
+#include <absl/strings/escaping.h>
+#include <absl/strings/strip.h>
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr std::size_t secretBytes = 32;
+
+    std::string decoded(const std::string& text)
+    {
+        try {
+            std::string result;
+            Poco::URI::decode(text, result, false);
+            return result;
+        } catch (const Poco::Exception&) {
+            return text;
+        }
+    }
+
+    bool contains(const std::string& text, const std::string& secret)
+    {
+        return text.find(secret) != std::string::npos || decoded(text).find(secret) != std::string::npos;
+    }
+
+} // namespace
+
+std::string hashSecret(std::string_view secret)
+{
+    Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
+    engine.update(secret.data(), secret.size());
+    return Poco::DigestEngine::digestToHex(engine.digest());
+}
+
+std::string drawSecret()
+{
+    Poco::RandomInputStream random;
+    std::string bytes(secretBytes, '\0');
+    random.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+    return absl::WebSafeBase64Escape(bytes);
+}
+
+std::string bearerSecret(const Poco::Net::HTTPRequest& request)
+{
+    constexpr std::string_view scheme = "bearer ";
+    const std::string value = request.get("Authorization", "");
+    if (toLower(value.substr(0, scheme.size())) != scheme)
+        return {};
+    return value.substr(scheme.size());
+}
+
+bool holdsSecret(const Poco::Net::HTTPRequest& request, const std::string& secret)
+{
+    if (secret.empty())
+        return false;
+    if (contains(request.getURI(), secret))
+        return true;
+    for (const auto& [name, value] : request) {
+        if (contains(name, secret))
+            return true;
+        if (toLower(name) != "authorization" && contains(value, secret))
+            return true;
+    }
+    return false;
+}
+
+bool secret_scanner::sees(std::string_view piece)
+{
+    m_pending.append(piece);
+    if (!m_secret.empty())
+        m_hasSeen = m_hasSeen || m_pending.find(m_secret) != std::string::npos;
+    return m_hasSeen;
+}
+
+std::string secret_scanner::takeSafe(bool isEnd)
+{
+    const std::size_t heldBack = isEnd || m_secret.empty() ? 0 : std::min(m_pending.size(), m_secret.size() - 1);
+    std::string safe = m_pending.substr(0, m_pending.size() - heldBack);
+    m_pending.erase(0, safe.size());
+    return safe;
+}
+
+} // namespace almondmoor
--- /dev/null
+++ b/Source/main.cxx
@@ -0,0 +1,59 @@
+// The program 'almondmoor': one binary, with a role for each command.
+
+#include "ctl_command.h"
+#include "load_command.h"
+#include "serve_command.h"
+#include "settings.h"
+
+#include <array>
+#include <iostream>
+#include <string_view>
+
+namespace {
+
+constexpr int usageStatus = 2;
+
+int runHelp(int, char**)
+{
+    std::cout << "almondmoor serve [SETTINGS]            run one entry host\n"
+                 "almondmoor ctl [SETTINGS] [COMMAND]    send a command, or a session from standard input\n"
+                 "almondmoor load [SETTINGS]             send requests at a fixed rate and report\n"
+                 "almondmoor help                        show this text\n"
+                 "almondmoor --version                   show the version\n\n"
+                 "Each setting is also an environment variable: --host_name is ALMONDMOOR_HOST_NAME.\n"
+              << almondmoor::describeSettings();
+    return 0;
+}
+
+int runVersion(int, char**)
+{
+    std::cout << "almondmoor " ALMONDMOOR_VERSION "\n";
+    return 0;
+}
+
+struct command_row {
+    std::string_view name;
+    int (*run)(int, char**);
+};
+
+constexpr std::array<command_row, 6> commands { {
+    { "serve", almondmoor::runServe },
+    { "ctl", almondmoor::runCtl },
+    { "load", almondmoor::runLoad },
+    { "help", runHelp },
+    { "--help", runHelp },
+    { "--version", runVersion },
+} };
+
+} // namespace
+
+int main(int argumentCount, char** arguments)
+{
+    const std::string_view name = argumentCount > 1 ? arguments[1] : "";
+    for (const auto& row : commands) {
+        if (row.name == name)
+            return row.run(argumentCount - 1, arguments + 1);
+    }
+    std::cerr << "almondmoor: '" << name << "' is no command; 'almondmoor help' lists them\n";
+    return usageStatus;
+}
--- /dev/null
+++ b/Source/peer_codec.cxx
@@ -0,0 +1,171 @@
+#include "peer_codec.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr std::uint32_t largestBucket = 39;
+    constexpr std::uint32_t largestCount = 1'000'000;
+
+    void writeEvidence(const evidence_report& from, wire::Evidence& to)
+    {
+        to.set_origin(from.origin);
+        to.set_origin_incarnation(from.originIncarnation);
+        to.set_data_centre(from.dataCentre);
+        to.set_sequence(from.sequence);
+        for (const work_sample& sample : from.samples) {
+            auto& it = *to.add_samples();
+            it.set_upstream(sample.upstream);
+            it.set_result(static_cast<std::uint32_t>(sample.result));
+            it.set_bucket(sample.bucket);
+            it.set_fingerprint(sample.fingerprint);
+            it.set_count(sample.count);
+        }
+    }
+
+    evidence_report readEvidence(const wire::Evidence& from)
+    {
+        evidence_report to { from.origin(), from.origin_incarnation(), from.data_centre(), from.sequence(), {} };
+        for (const auto& sample : from.samples()) {
+            const bool isProper = sample.result() < workResultNames.size() && sample.count() > 0;
+            if (!isProper)
+                continue;
+            to.samples.push_back(work_sample { sample.upstream(), static_cast<work_result>(sample.result()),
+                static_cast<std::uint8_t>(std::min(sample.bucket(), largestBucket)), sample.fingerprint(), std::min(sample.count(), largestCount) });
+        }
+        return to;
+    }
+
+    void writeReport(const share_report& from, wire::ShareReport& to)
+    {
+        to.set_team(from.team);
+        to.set_epoch(from.epoch);
+        to.set_sequence(from.sequence);
+        to.set_rate_per_second(from.ratePerSecond);
+        to.set_burst(from.burst);
+        to.set_returned_tokens(from.returnedTokens);
+        to.set_demand_per_second(from.demandPerSecond);
+        to.set_wanted_tokens(from.wantedTokens);
+        to.set_held_tokens(from.heldTokens);
+    }
+
+    bool isAmount(double value)
+    {
+        return std::isfinite(value) && value >= 0;
+    }
+
+    share_report readReport(const wire::ShareReport& from)
+    {
+        return share_report { from.team(), from.epoch(), from.sequence(), from.rate_per_second(), from.burst(), from.returned_tokens(),
+            from.demand_per_second(), from.wanted_tokens(), from.held_tokens() };
+    }
+
+    bool isProper(const share_report& it)
+    {
+        return isAmount(it.ratePerSecond) && isAmount(it.burst) && isAmount(it.returnedTokens) && isAmount(it.demandPerSecond) && isAmount(it.wantedTokens)
+            && isAmount(it.heldTokens);
+    }
+
+    void writeGrant(const share_grant& from, wire::ShareGrant& to)
+    {
+        to.set_team(from.team);
+        to.set_epoch(from.epoch);
+        to.set_sequence(from.sequence);
+        to.set_added_rate(from.addedRate);
+        to.set_added_burst(from.addedBurst);
+        to.set_added_tokens(from.addedTokens);
+        to.set_target_rate(from.targetRate);
+        to.set_target_burst(from.targetBurst);
+    }
+
+    share_grant readGrant(const wire::ShareGrant& from)
+    {
+        return share_grant { from.team(), from.epoch(), from.sequence(), from.added_rate(), from.added_burst(), from.added_tokens(), from.target_rate(),
+            from.target_burst() };
+    }
+
+    bool isProper(const share_grant& it)
+    {
+        return isAmount(it.addedRate) && isAmount(it.addedBurst) && isAmount(it.addedTokens) && isAmount(it.targetRate) && isAmount(it.targetBurst);
+    }
+
+} // namespace
+
+wire::PeerMessage toWire(const peer_message& from)
+{
+    wire::PeerMessage to;
+    to.set_sender(from.sender);
+    to.set_incarnation(from.incarnation);
+    to.set_data_centre(from.dataCentre);
+    to.set_version(from.version);
+    to.set_stamp(from.stamp);
+    to.set_echo(from.echo);
+    to.set_echo_incarnation(from.echoIncarnation);
+    if (from.storeRead.isKnown) {
+        to.mutable_store_read()->set_head(from.storeRead.head);
+        to.mutable_store_read()->set_age_ms(from.storeRead.ageMs);
+    }
+    for (const auto& statement : from.statements) {
+        auto& it = *to.add_statements();
+        it.set_host(statement.host);
+        it.set_incarnation(statement.incarnation);
+        it.set_version(statement.version);
+        it.set_age_ms(statement.ageMs);
+    }
+    for (const auto& change : from.changes) {
+        auto& it = *to.add_changes();
+        it.set_id(change.id);
+        it.set_version(change.version);
+        it.set_author(change.author);
+        it.set_accepted_at_unix_ms(change.acceptedAtUnixMs);
+        it.set_command(change.command);
+    }
+    to.set_snapshot_version(from.snapshotVersion);
+    for (const auto& command : from.snapshot)
+        to.add_snapshot(command);
+    to.set_wants_evidence(from.wantsEvidence);
+    for (const auto& report : from.evidence)
+        writeEvidence(report, *to.add_evidence());
+    for (const auto& report : from.shareReports)
+        writeReport(report, *to.add_share_reports());
+    for (const auto& grant : from.shareGrants)
+        writeGrant(grant, *to.add_share_grants());
+    return to;
+}
+
+peer_message fromWire(const wire::PeerMessage& from)
+{
+    peer_message to;
+    to.sender = from.sender();
+    to.incarnation = from.incarnation();
+    to.dataCentre = from.data_centre();
+    to.version = from.version();
+    to.stamp = from.stamp();
+    to.echo = from.echo();
+    to.echoIncarnation = from.echo_incarnation();
+    if (from.has_store_read())
+        to.storeRead = relayed_store_read { true, from.store_read().head(), from.store_read().age_ms() };
+    for (const auto& it : from.statements())
+        to.statements.push_back(relayed_statement { it.host(), it.incarnation(), it.version(), it.age_ms() });
+    for (const auto& it : from.changes())
+        to.changes.push_back(change { it.id(), it.version(), it.author(), it.accepted_at_unix_ms(), it.command() });
+    to.snapshotVersion = from.snapshot_version();
+    to.snapshot.assign(from.snapshot().begin(), from.snapshot().end());
+    to.wantsEvidence = from.wants_evidence();
+    for (const auto& it : from.evidence())
+        to.evidence.push_back(readEvidence(it));
+    for (const auto& it : from.share_reports()) {
+        if (const auto report = readReport(it); isProper(report))
+            to.shareReports.push_back(report);
+    }
+    for (const auto& it : from.share_grants()) {
+        if (const auto grant = readGrant(it); isProper(grant))
+            to.shareGrants.push_back(grant);
+    }
+    return to;
+}
+
+} // namespace almondmoor
--- /dev/null
+++ b/Source/settings.cxx
@@ -0,0 +1,221 @@
+#include "settings.h"
+
+#include "Core/error.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <cstdlib>
+#include <gflags/gflags.h>
+
+DEFINE_string(host_name, "host-1", "Name of this host, unique in the fleet.");
+DEFINE_string(data_centre, "local-1", "Data centre of this host; the part up to the last dash is its region.");
+DEFINE_string(guest_address, "127.0.0.1:8080", "Where guests connect.");
+DEFINE_string(operator_address, "127.0.0.1:8081", "Where operators and the platform's checks connect.");
+DEFINE_string(peer_address, "127.0.0.1:8082", "Where other hosts connect.");
+DEFINE_string(platform, "memory", "The platform's IP-NUMBER:PORT, or 'memory' for one inside this process.");
+DEFINE_string(operator_key, "", "Secret that operators send; best given as ALMONDMOOR_OPERATOR_KEY.");
+DEFINE_uint32(guest_workers, 256, "Threads that serve requests of guests.");
+DEFINE_uint32(guest_connections, 10000, "Connections of guests held at the same time.");
+DEFINE_uint32(head_timeout_ms, 10000, "Time for a guest to send a request's head.");
+DEFINE_uint32(body_timeout_ms, 30000, "Time for a guest to send or take the next piece of a body.");
+DEFINE_uint32(idle_timeout_ms, 60000, "Time for which an idle guest stays connected.");
+DEFINE_uint32(request_timeout_ms, 10000, "Time for a request whose guest gave no deadline.");
+DEFINE_uint32(connect_timeout_ms, 500, "Time to connect to an upstream.");
+DEFINE_uint32(platform_timeout_ms, 1000, "Time for a call to the platform.");
+DEFINE_uint32(token_wait_ms, 250, "Time for which a request waits for a part of its team's allowance.");
+DEFINE_uint32(largest_body_mb, 4096, "Largest request body.");
+DEFINE_uint32(retry_percent, 10, "Retries allowed per hundred first attempts.");
+DEFINE_uint32(freshness_limit_ms, 3500, "Age of the configuration's evidence from which keyed routes are refused.");
+DEFINE_uint32(stop_notice_ms, 2000, "Time between showing 'not ready' and closing the guest port on a planned stop.");
+DEFINE_uint32(stop_limit_ms, 60000, "Longest time that a planned stop waits for running requests.");
+DEFINE_string(log_level, "info", "Lines that are logged: error, warn, info or debug.");
+DEFINE_uint64(seed, 0, "Seed of random choices; 0 draws one.");
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr const char* environmentPrefix = "ALMONDMOOR_";
+
+    absl::Status badSetting(const std::string& name, const std::string& value, const std::string& expectation)
+    {
+        return makeError(absl::StatusCode::kInvalidArgument, "settings", "", absl::StrCat("--", name, "=", value, ": ", expectation));
+    }
+
+    bool isAddress(const std::string& text)
+    {
+        const auto colon = text.rfind(':');
+        unsigned port = 0;
+        return colon != std::string::npos && colon > 0 && absl::SimpleAtoi(text.substr(colon + 1), &port) && port > 0 && port < 65536
+            && text.find_first_not_of("0123456789abcdefABCDEF.:[]") == std::string::npos;
+    }
+
+    absl::Status readEnvironment()
+    {
+        for (const auto& row : settingRows()) {
+            const std::string variable = absl::StrCat(environmentPrefix, absl::AsciiStrToUpper(row.flag));
+            const char* value = std::getenv(variable.c_str());
+            if (!value)
+                continue;
+            const auto changed = gflags::SetCommandLineOptionWithMode(row.flag, value, gflags::SET_FLAGS_DEFAULT);
+            if (changed.empty())
+                return makeError(absl::StatusCode::kInvalidArgument, "settings", "", absl::StrCat(variable, "=", value, ": not a value of this setting"));
+        }
+        return absl::OkStatus();
+    }
+
+    absl::Status checkRanges()
+    {
+        for (const auto& row : settingRows()) {
+            std::string value;
+            gflags::GetCommandLineOption(row.flag, &value);
+            const bool isText = row.least == 0 && row.most == 0;
+            double number = 0;
+            if (isText)
+                continue;
+            if (!absl::SimpleAtod(value, &number) || number < row.least || number > row.most)
+                return badSetting(row.flag, value, absl::StrCat("allowed are ", row.least, " to ", row.most, " ", row.unit));
+        }
+        for (const auto& [flag, value] : { std::pair("guest_address", FLAGS_guest_address), std::pair("operator_address", FLAGS_operator_address), std::pair("peer_address", FLAGS_peer_address) }) {
+            if (!isAddress(value))
+                return badSetting(flag, value, "expected IP-NUMBER:PORT");
+        }
+        if (FLAGS_platform != "memory" && !isAddress(FLAGS_platform))
+            return badSetting("platform", FLAGS_platform, "expected 'memory' or IP-NUMBER:PORT");
+        constexpr std::array<std::string_view, 4> levels { "error", "warn", "info", "debug" };
+        if (std::find(levels.begin(), levels.end(), FLAGS_log_level) == levels.end())
+            return badSetting("log_level", FLAGS_log_level, "expected error, warn, info or debug");
+        if (FLAGS_host_name.empty() || FLAGS_host_name.find_first_of(" \t") != std::string::npos)
+            return badSetting("host_name", FLAGS_host_name, "expected a name without spaces");
+        if (FLAGS_data_centre.empty() || FLAGS_data_centre.find_first_of(" \t") != std::string::npos)
+            return badSetting("data_centre", FLAGS_data_centre, "expected a name without spaces");
+        return absl::OkStatus();
+    }
+
+    duration milliseconds(std::uint32_t value)
+    {
+        return std::chrono::milliseconds(value);
+    }
+
+    // gflags ends the process on flags it does not know; look for them first.
+    absl::Status checkFlagNames(int argumentCount, char** arguments)
+    {
+        for (int index = 1; index < argumentCount; ++index) {
+            std::string name(arguments[index]);
+            if (name.rfind("--", 0) != 0)
+                continue;
+            name = name.substr(2, name.find('=') - 2);
+            const auto& rows = settingRows();
+            const bool isKnown = std::any_of(rows.begin(), rows.end(), [&name](const auto& row) { return name == row.flag; });
+            if (!isKnown)
+                return makeError(absl::StatusCode::kInvalidArgument, "settings", "", absl::StrCat("--", name, ": no such setting; 'almondmoor help' lists them"));
+        }
+        return absl::OkStatus();
+    }
+
+    absl::Status parseFlags(int* argumentCount, char*** arguments)
+    {
+        auto status = checkFlagNames(*argumentCount, *arguments);
+        if (status.ok())
+            status = readEnvironment();
+        if (!status.ok())
+            return status;
+        gflags::ParseCommandLineNonHelpFlags(argumentCount, arguments, true);
+        return checkRanges();
+    }
+
+} // namespace
+
+const std::vector<setting_row>& settingRows()
+{
+    static const std::vector<setting_row> rows {
+        { "host_name", "", 0, 0 },
+        { "data_centre", "", 0, 0 },
+        { "guest_address", "", 0, 0 },
+        { "operator_address", "", 0, 0 },
+        { "peer_address", "", 0, 0 },
+        { "platform", "", 0, 0 },
+        { "operator_key", "", 0, 0 },
+        { "guest_workers", "threads", 1, 4096 },
+        { "guest_connections", "connections", 1, 200000 },
+        { "head_timeout_ms", "ms", 100, 600000 },
+        { "body_timeout_ms", "ms", 100, 600000 },
+        { "idle_timeout_ms", "ms", 100, 3600000 },
+        { "request_timeout_ms", "ms", 10, 600000 },
+        { "connect_timeout_ms", "ms", 1, 60000 },
+        { "platform_timeout_ms", "ms", 10, 60000 },
+        { "token_wait_ms", "ms", 0, 10000 },
+        { "largest_body_mb", "MiB", 1, 1048576 },
+        { "retry_percent", "%", 0, 100 },
+        { "freshness_limit_ms", "ms", 500, 4000 },
+        { "stop_notice_ms", "ms", 0, 600000 },
+        { "stop_limit_ms", "ms", 100, 3600000 },
+        { "log_level", "", 0, 0 },
+        { "seed", "", 0, 1.8446744073709552e19 },
+    };
+    return rows;
+}
+
+absl::Status readSettings(int* argumentCount, char*** arguments, serve_settings& settings)
+{
+    const auto status = parseFlags(argumentCount, arguments);
+    if (!status.ok())
+        return status;
+    settings.hostName = FLAGS_host_name;
+    settings.dataCentre = FLAGS_data_centre;
+    settings.guestAddress = FLAGS_guest_address;
+    settings.operatorAddress = FLAGS_operator_address;
+    settings.peerAddress = FLAGS_peer_address;
+    settings.platform = FLAGS_platform;
+    settings.operatorKey = FLAGS_operator_key;
+    settings.guestWorkers = FLAGS_guest_workers;
+    settings.guestConnections = FLAGS_guest_connections;
+    settings.headTimeout = milliseconds(FLAGS_head_timeout_ms);
+    settings.bodyTimeout = milliseconds(FLAGS_body_timeout_ms);
+    settings.idleTimeout = milliseconds(FLAGS_idle_timeout_ms);
+    settings.requestTimeout = milliseconds(FLAGS_request_timeout_ms);
+    settings.connectTimeout = milliseconds(FLAGS_connect_timeout_ms);
+    settings.platformTimeout = milliseconds(FLAGS_platform_timeout_ms);
+    settings.tokenWait = milliseconds(FLAGS_token_wait_ms);
+    settings.largestBody = std::uint64_t { FLAGS_largest_body_mb } << 20;
+    settings.stopNotice = milliseconds(FLAGS_stop_notice_ms);
+    settings.stopLimit = milliseconds(FLAGS_stop_limit_ms);
+    settings.logLevel = FLAGS_log_level;
+    settings.seed = FLAGS_seed;
+    settings.traffic.budget.ratio = FLAGS_retry_percent / 100.0;
+    settings.freshness.limit = milliseconds(FLAGS_freshness_limit_ms);
+    if (settings.operatorKey.empty())
+        return badSetting("operator_key", "", "a secret is needed; set ALMONDMOOR_OPERATOR_KEY");
+    return absl::OkStatus();
+}
+
+absl::Status readClientSettings(int* argumentCount, char*** arguments, client_settings& settings)
+{
+    const auto status = parseFlags(argumentCount, arguments);
+    if (!status.ok())
+        return status;
+    settings.operatorAddress = FLAGS_operator_address;
+    settings.operatorKey = FLAGS_operator_key;
+    if (settings.operatorKey.empty())
+        return badSetting("operator_key", "", "a secret is needed; set ALMONDMOOR_OPERATOR_KEY");
+    return absl::OkStatus();
+}
+
+std::string describeSettings()
+{
+    std::string text;
+    for (const auto& row : settingRows()) {
+        gflags::CommandLineFlagInfo info;
+        gflags::GetCommandLineFlagInfo(row.flag, &info);
+        absl::StrAppend(&text, "  --", row.flag, "  ", info.description, " Default: ", info.default_value.empty() ? "none" : info.default_value);
+        const bool hasRange = row.least != 0 || row.most != 0;
+        if (hasRange && *row.unit)
+            absl::StrAppend(&text, " (", row.least, " to ", row.most, " ", row.unit, ")");
+        absl::StrAppend(&text, "\n");
+    }
+    return text;
+}
+
+} // namespace almondmoor
--- /dev/null
+++ b/Source/upstream_exchange.cxx
@@ -0,0 +1,148 @@
+#include "upstream_exchange.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr int serviceUnavailable = 503;
+    constexpr unsigned mostInterimAnswers = 16;
+
+} // namespace
+
+exchange_end upstream_exchange::endOf(const absl::Status& status)
+{
+    m_detail = std::string(status.message());
+    if (absl::IsDeadlineExceeded(status))
+        return exchange_end::Timeout;
+    if (absl::IsCancelled(status))
+        return exchange_end::GuestGone;
+    if (absl::IsInvalidArgument(status))
+        return exchange_end::BadAnswer;
+    return exchange_end::Lost;
+}
+
+exchange_end upstream_exchange::run(const outgoing_request& request, byte_stream& guest, instant deadline, duration bodyTimeout)
+{
+    auto acquired = m_pool.acquire(m_upstream, request.mustBeNewConnection, deadline);
+    if (!acquired.ok()) {
+        m_detail = std::string(acquired.status().message());
+        return exchange_end::ConnectFailed;
+    }
+    m_stream = *std::move(acquired);
+    if (!m_beforeSend())
+        return exchange_end::NotStarted;
+    const exchange_end sent = send(request, guest, deadline, bodyTimeout);
+    if (sent != exchange_end::Answered)
+        return sent;
+    return receiveHead(request.head.getMethod(), guest, deadline);
+}
+
+exchange_end upstream_exchange::send(const outgoing_request& request, byte_stream&, instant deadline, duration bodyTimeout)
+{
+    m_sentAt = presentInstant();
+    std::string start = writeHead(request.head);
+    if (request.head.getChunkedTransferEncoding()) {
+        if (!request.bodyStart.empty())
+            start += writeChunk(request.bodyStart);
+        if (!request.bodyRest)
+            start += lastChunk;
+    } else {
+        start += request.bodyStart;
+    }
+    const auto status = m_stream->send(start, deadline);
+    // An upstream that answers early may close its side; its answer counts.
+    if (!status.ok() && m_stream->isIdleAndOpen())
+        return endOf(status);
+    if (!request.bodyRest) {
+        m_isBodySent = status.ok();
+        return exchange_end::Answered;
+    }
+    return sendRest(request, deadline, bodyTimeout);
+}
+
+exchange_end upstream_exchange::sendRest(const outgoing_request& request, instant deadline, duration bodyTimeout)
+{
+    const bool isChunked = request.head.getChunkedTransferEncoding();
+    while (true) {
+        // An early answer ends the sending; the guest gets it at once.
+        if (!m_stream->isIdleAndOpen())
+            return exchange_end::Answered;
+        const auto piece = request.bodyRest->next(presentInstant() + bodyTimeout);
+        if (!piece.ok()) {
+            m_detail = std::string(piece.status().message());
+            return absl::IsOutOfRange(piece.status()) ? exchange_end::GuestGone : exchange_end::GuestBodyFailed;
+        }
+        if (request.scanner->sees(*piece)) {
+            m_detail = "the body holds the guest's key";
+            return exchange_end::GuestBodyFailed;
+        }
+        const bool isEnd = request.bodyRest->isAtEnd() && piece->empty();
+        const std::string safe = request.scanner->takeSafe(isEnd);
+        std::string bytes = isChunked && !safe.empty() ? writeChunk(safe) : safe;
+        if (isEnd && isChunked)
+            bytes += lastChunk;
+        const auto status = m_stream->send(bytes, std::max(deadline, presentInstant() + bodyTimeout));
+        if (!status.ok())
+            return m_stream->isClosedByPeer() ? exchange_end::Lost : endOf(status);
+        if (isEnd) {
+            m_isBodySent = true;
+            return exchange_end::Answered;
+        }
+    }
+}
+
+exchange_end upstream_exchange::receiveHead(const std::string& method, byte_stream& guest, instant deadline)
+{
+    for (unsigned interim = 0; interim <= mostInterimAnswers;) {
+        const auto length = headLength(m_stream->buffered());
+        if (!length) {
+            if (m_stream->buffered().size() > largestHead)
+                return endOf(absl::InvalidArgumentError("the answer's head is too large"));
+            auto status = m_stream->waitReadableOrClosed(guest, deadline);
+            if (!m_stream->buffered().empty() || status.ok())
+                status = m_stream->receive(deadline);
+            if (!status.ok())
+                return endOf(status);
+            continue;
+        }
+        const std::string block(m_stream->buffered().substr(0, *length));
+        m_stream->consume(*length);
+        m_response.clear();
+        const auto status = readResponseHead(block, method, m_response, m_framing);
+        if (!status.ok())
+            return endOf(status);
+        if (m_response.getStatus() >= 200)
+            break;
+        if (m_response.getStatus() == 101 || ++interim > mostInterimAnswers)
+            return endOf(absl::InvalidArgumentError("the answer switches protocols or never begins"));
+    }
+    m_latency = presentInstant() - m_sentAt;
+    if (m_framing.kind == body_kind::UntilClose)
+        return endOf(absl::InvalidArgumentError("the answer's end cannot be told from a lost connection"));
+    if (m_response.getStatus() == serviceUnavailable && m_response.has(notStartedHeader))
+        return exchange_end::NotStarted;
+    return exchange_end::Answered;
+}
+
+void upstream_exchange::finish()
+{
+    if (!m_stream)
+        return;
+    const bool wantsClose = toLower(m_response.get("Connection", "")) == "close" || m_response.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
+    if (wantsClose || !m_isBodySent || !m_stream->buffered().empty()) {
+        cancel();
+        return;
+    }
+    m_pool.putBack(m_upstream, std::move(m_stream));
+}
+
+void upstream_exchange::cancel()
+{
+    if (m_stream)
+        m_stream->abort();
+    m_stream.reset();
+}
+
+} // namespace almondmoor
