Tests: Add the stand-ins for an upstream and the platform

Cause: the path needs an upstream that records what it runs and a platform whose faults can be switched. The classes are also linked into tests, so that a test sees the records without another protocol.

--- /dev/null
+++ b/Tests/StandIns/stand_in_platform.cxx
@@ -0,0 +1,138 @@
+#include "StandIns/stand_in_platform.h"
+
+#include "Platform/platform_json.h"
+#include "http_body.h"
+
+#include <Poco/Exception.h>
+#include <Poco/URI.h>
+#include <absl/strings/str_cat.h>
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr duration patience = std::chrono::seconds(10);
+    constexpr int okStatus = 200;
+    constexpr int badRequestStatus = 400;
+    constexpr int notFoundStatus = 404;
+    constexpr int preconditionFailedStatus = 412;
+    constexpr int unavailableStatus = 503;
+    // Stands for an answer that is never sent.
+    constexpr int lostStatus = 0;
+
+    int statusOf(call_outcome outcome)
+    {
+        switch (outcome) {
+        case call_outcome::Done:
+            return okStatus;
+        case call_outcome::Refused:
+            return preconditionFailedStatus;
+        case call_outcome::Unavailable:
+            return unavailableStatus;
+        case call_outcome::Unknown:
+            return lostStatus;
+        }
+        return lostStatus;
+    }
+
+} // namespace
+
+stand_in_platform::stand_in_platform(const std::string& address)
+{
+    const listener_settings settings { address, 32, 4096, patience, patience };
+    m_listener = std::make_unique<http_listener>(
+        settings, [this](http_exchange& exchange) { return serve(exchange); },
+        listener_events { [] {}, [] {}, [](bool) {} });
+    m_listener->start();
+}
+
+stand_in_platform::~stand_in_platform()
+{
+    m_listener->stop();
+}
+
+void stand_in_platform::runSwitch(const std::string& target)
+{
+    platform_faults faults;
+    listed_host entry;
+    const Poco::URI uri(target);
+    for (const auto& [name, value] : uri.getQueryParameters()) {
+        if (name == "away")
+            faults.isAway = value == "yes";
+        else if (name == "lost-answers")
+            faults.lostAnswers = static_cast<unsigned>(std::stoul(value));
+        else if (name == "name")
+            entry.name = value;
+        else if (name == "peer")
+            entry.peerAddress = value;
+        else if (name == "data-centre")
+            entry.dataCentre = value;
+        else if (name == "leaving")
+            entry.leaving = value == "yes";
+    }
+    if (uri.getPath() == "/switch/host")
+        m_memory.setHost(entry);
+    else
+        m_memory.setFaults(faults);
+}
+
+std::string stand_in_platform::runCall(const std::string& method, const std::string& path, const std::string& body, int& status)
+{
+    constexpr std::string_view objects = "/v1/objects/";
+    if (path.rfind("/switch/", 0) == 0 && method == "PUT") {
+        runSwitch(path);
+        return "";
+    }
+    if (path == "/v1/table/read" && method == "POST") {
+        const auto rows = m_memory.readRows(parseKeys(body));
+        status = statusOf(rows.outcome);
+        return writeRows(rows.value);
+    }
+    if (path == "/v1/table/commit" && method == "POST") {
+        status = statusOf(m_memory.commit(parseTransaction(body)).outcome);
+        return "";
+    }
+    if (path == "/v1/hosts" && method == "GET") {
+        const auto hosts = m_memory.listHosts();
+        status = statusOf(hosts.outcome);
+        return writeHosts(hosts.value);
+    }
+    if (path.rfind(objects, 0) == 0 && method == "PUT") {
+        status = statusOf(m_memory.putObject(path.substr(objects.size()), body).outcome);
+        return "";
+    }
+    if (path.rfind(objects, 0) == 0 && method == "GET") {
+        const auto content = m_memory.getObject(path.substr(objects.size()));
+        status = content.outcome == call_outcome::Done && !content.value ? notFoundStatus : statusOf(content.outcome);
+        return content.value.value_or("");
+    }
+    status = notFoundStatus;
+    return "";
+}
+
+connection_fate stand_in_platform::serve(http_exchange& exchange)
+{
+    body_reader reader(exchange.stream, exchange.framing);
+    std::string body;
+    while (!reader.isAtEnd()) {
+        const auto piece = reader.next(presentInstant() + patience);
+        if (!piece.ok())
+            return connection_fate::Close;
+        body += *piece;
+    }
+    int status = okStatus;
+    std::string reply;
+    try {
+        reply = runCall(exchange.request.getMethod(), exchange.request.getURI(), body, status);
+    } catch (const Poco::Exception& error) {
+        status = badRequestStatus;
+        reply = error.displayText();
+    }
+    if (status == lostStatus)
+        return connection_fate::Abort;
+    const std::string text = absl::StrCat("HTTP/1.1 ", status, " Said\r\nContent-Length: ", reply.size(), "\r\n\r\n", reply);
+    const bool isSent = exchange.stream.send(text, presentInstant() + patience).ok();
+    return isSent && exchange.request.getKeepAlive() ? connection_fate::Keep : connection_fate::Close;
+}
+
+} // namespace almondmoor
--- /dev/null
+++ b/Tests/StandIns/stand_in_upstream.cxx
@@ -0,0 +1,159 @@
+#include "StandIns/stand_in_upstream.h"
+
+#include "http_body.h"
+
+#include <Poco/URI.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr duration patience = std::chrono::seconds(30);
+    constexpr std::size_t pieceSize = 64 * 1024;
+
+    // Bytes of an answer are a pattern, so that a test can tell a shifted copy.
+    std::string patternPiece(std::uint64_t from, std::size_t size)
+    {
+        std::string piece(size, '\0');
+        for (std::size_t index = 0; index < size; ++index)
+            piece[index] = static_cast<char>('a' + (from + index) % 23);
+        return piece;
+    }
+
+} // namespace
+
+stand_in_upstream::stand_in_upstream(const std::string& address)
+{
+    const listener_settings settings { address, 64, 4096, patience, patience };
+    m_listener = std::make_unique<http_listener>(
+        settings, [this](http_exchange& exchange) { return serve(exchange); },
+        listener_events { [] {}, [] {}, [](bool) {} });
+    m_listener->start();
+}
+
+stand_in_upstream::~stand_in_upstream()
+{
+    hold(false);
+    m_listener->stop();
+}
+
+void stand_in_upstream::setBehaviour(const upstream_behaviour& behaviour)
+{
+    const std::lock_guard lock(m_mutex);
+    m_behaviour = behaviour;
+}
+
+void stand_in_upstream::hold(bool isHeld)
+{
+    const std::lock_guard lock(m_mutex);
+    m_isHeld = isHeld;
+    m_changed.notify_all();
+}
+
+bool stand_in_upstream::waitForReceived(std::size_t count, duration timeout)
+{
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_for(lock, timeout, [&] { return m_received >= count; });
+}
+
+std::vector<run_record> stand_in_upstream::runs() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runs;
+}
+
+std::size_t stand_in_upstream::receivedCount() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_received;
+}
+
+upstream_behaviour stand_in_upstream::behaviourFor(const std::string& target) const
+{
+    upstream_behaviour behaviour;
+    {
+        const std::lock_guard lock(m_mutex);
+        behaviour = m_behaviour;
+    }
+    for (const auto& [name, value] : Poco::URI(target).getQueryParameters()) {
+        if (name == "delay-ms")
+            behaviour.delay = std::chrono::milliseconds(std::stoul(value));
+        else if (name == "status")
+            behaviour.status = std::stoi(value);
+        else if (name == "bytes")
+            behaviour.bodyBytes = std::stoull(value);
+        else if (name == "chunked")
+            behaviour.isChunked = value == "yes";
+        else if (name == "crash")
+            behaviour.crashesBeforeRun = value == "yes";
+    }
+    return behaviour;
+}
+
+connection_fate stand_in_upstream::serve(http_exchange& exchange)
+{
+    {
+        std::unique_lock lock(m_mutex);
+        ++m_received;
+        m_changed.notify_all();
+        m_changed.wait(lock, [this] { return !m_isHeld; });
+    }
+    const upstream_behaviour behaviour = behaviourFor(exchange.request.getURI());
+    if (behaviour.crashesBeforeRun)
+        return connection_fate::Abort;
+    if (behaviour.refusesToStart || behaviour.shedsLoad) {
+        const std::string header = behaviour.refusesToStart ? "Request-Not-Started: yes" : "Retry-After: 1";
+        (void)exchange.stream.send(absl::StrCat("HTTP/1.1 503 Busy\r\n", header, "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"), presentInstant() + patience);
+        return connection_fate::Close;
+    }
+    body_reader body(exchange.stream, exchange.framing);
+    std::string received;
+    while (!body.isAtEnd()) {
+        const auto piece = body.next(presentInstant() + patience);
+        if (!piece.ok())
+            return connection_fate::Close;
+        received += *piece;
+    }
+    if (behaviour.delay > duration::zero())
+        std::this_thread::sleep_for(behaviour.delay);
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto& request = exchange.request;
+        m_runs.push_back(run_record { request.getMethod(), request.getURI(), request.get("Idempotency-Key", ""), request.get("Almondmoor-Team", ""),
+            writeHead(request), received });
+    }
+    if (behaviour.crashesAfterRun)
+        return connection_fate::Abort;
+    if (!behaviour.rawAnswer.empty()) {
+        (void)exchange.stream.send(behaviour.rawAnswer, presentInstant() + patience);
+        return connection_fate::Close;
+    }
+    return answer(exchange, behaviour);
+}
+
+connection_fate stand_in_upstream::answer(http_exchange& exchange, const upstream_behaviour& behaviour)
+{
+    const std::string framing = behaviour.isChunked ? "Transfer-Encoding: chunked" : absl::StrCat("Content-Length: ", behaviour.bodyBytes);
+    const std::string head = absl::StrCat("HTTP/1.1 ", behaviour.status, " Said\r\nContent-Type: text/plain\r\nFor: ",
+        exchange.request.get("Guest-Number", "-"), "\r\n", framing, "\r\n\r\n");
+    if (!exchange.stream.send(head, presentInstant() + patience).ok())
+        return connection_fate::Close;
+    const std::uint64_t cutAt = behaviour.cutsAnswer ? behaviour.bodyBytes / 2 : behaviour.bodyBytes;
+    const bool hasBody = exchange.request.getMethod() != "HEAD";
+    for (std::uint64_t sent = 0; hasBody && sent < cutAt;) {
+        const auto size = static_cast<std::size_t>(std::min<std::uint64_t>(pieceSize, cutAt - sent));
+        const std::string piece = patternPiece(sent, size);
+        if (!exchange.stream.send(behaviour.isChunked ? writeChunk(piece) : piece, presentInstant() + patience).ok())
+            return connection_fate::Close;
+        sent += size;
+    }
+    if (behaviour.cutsAnswer)
+        return connection_fate::Close;
+    if (behaviour.isChunked && hasBody)
+        (void)exchange.stream.send(lastChunk, presentInstant() + patience);
+    return connection_fate::Keep;
+}
+
+} // namespace almondmoor
