--- a/Source/Core/allowance.h
+++ b/Source/Core/allowance.h
@@ -92,9 +92,9 @@
     // Time for which a share of an earlier epoch may be used before its new
     // home has registered it.
     duration registrationGrace = std::chrono::seconds(2);
-    // A holder keeps a part of the rate only from this demand on; below it, it
-    // borrows whole tokens.
-    double leastDemandForRate = 5.0;
+    // A holder is lent a part of the rate only if its demand and its fair part
+    // are at least this, in requests per second; below, it borrows whole tokens.
+    double leastRateLent = 5.0;
 };
 
 // The shares that one host holds.
@@ -119,8 +119,9 @@
 
     // Adapts to a newer configuration. Shares whose home has changed must be
     // registered with the new home within the grace time. They are void at once
-    // if the host was not fresh when it learned of the change.
-    void adopt(const configuration&, bool wasFresh, instant now);
+    // if the host was not fresh when it learned of the change, or if it has been
+    // taken off the roster, since then the homes lend its shares to others.
+    void adopt(const configuration&, bool wasFresh, bool isMember, instant now);
 
     // Returns the reports that are due and deducts what they give back.
     std::vector<share_report> dueReports(instant now);
@@ -156,6 +157,8 @@
         double targetTokens = 0;
         // Time to wait before asking again, from the latest answer.
         duration askAgainAfter {};
+        // True if the home has since asked for some of the stock.
+        bool hasExcess = false;
     };
 
     void decayDemand(row&, instant now) const;
@@ -167,6 +170,8 @@
     allowance_settings m_settings;
     std::map<std::string, row> m_rows;
     std::map<unsigned, config_version> m_epochs;
+    // Homes lend to hosts of the roster only.
+    bool m_isMember = false;
     // Reports are numbered across all teams so that a row that was dropped and
     // made again never reuses a number.
     std::uint64_t m_nextSequence = 1;
@@ -190,7 +195,8 @@
     void noteConfirmed(config_version, instant now);
 
     // Answers a holder's report, or returns nothing if this host is not the
-    // team's home at the report's epoch or the report is old.
+    // team's home at the report's epoch, the report is old, or the holder is not
+    // in the roster.
     std::optional<share_grant> answer(const std::string& holder, std::uint64_t holderIncarnation, const share_report&, instant now);
 
     std::size_t teamCount() const { return m_rows.size(); }
@@ -214,6 +220,8 @@
         std::uint64_t sequence = 0;
         double demandPerSecond = 0;
         double heldTokens = 0;
+        // Tokens that the holder wanted and did not get.
+        double unmetTokens = 0;
         // The latest grant, in case it is lost.
         std::uint64_t grantSequence = 0;
         double grantedTokens = 0;
@@ -251,6 +259,8 @@
     // team that appears in one of them later is new and inherits nothing.
     std::map<unsigned, config_version> m_shards;
     config_version m_confirmed = 0;
+    // Incarnations of the roster's hosts.
+    std::map<std::string, std::uint64_t> m_roster;
 };
 
 } // namespace almondmoor
--- a/Source/Core/allowance_holder.cxx
+++ b/Source/Core/allowance_holder.cxx
@@ -7,8 +7,8 @@
 
 namespace {
 
-// Longest time that an answer may ask a holder to wait.
-constexpr duration longestWait = std::chrono::milliseconds(250);
+    // Longest time that an answer may ask a holder to wait.
+    constexpr duration longestWait = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -87,8 +87,11 @@
         found->second.waiting = waiting;
 }
 
-void allowance_holder::adopt(const configuration& held, bool wasFresh, instant now)
+void allowance_holder::adopt(const configuration& held, bool wasFresh, bool isMember, instant now)
 {
+    m_isMember = isMember;
+    if (!isMember)
+        m_rows.clear();
     for (const auto& [shard, home] : held.shardHomes())
         m_epochs[shard] = home.epoch;
     std::erase_if(m_rows, [&held](const auto& entry) { return !held.teams().count(entry.first); });
@@ -111,7 +114,11 @@
     if (it.isAwaitingAnswer && now - *it.reportedAt < m_settings.answerTimeout)
         return false;
     const bool isShort = it.waiting > 0 && it.held.tokens < it.waiting;
-    const duration wait = isShort ? std::max(m_settings.reportSpacing, it.askAgainAfter) : m_settings.reportInterval;
+    duration wait = m_settings.reportInterval;
+    if (isShort)
+        wait = std::max(m_settings.reportSpacing, it.askAgainAfter);
+    else if (it.hasExcess)
+        wait = m_settings.reportSpacing;
     return now - *it.reportedAt >= wait;
 }
 
@@ -132,6 +139,7 @@
     held.burst = keepBurst;
     it.reportedAt = now;
     it.isAwaitingAnswer = true;
+    it.hasExcess = false;
     it.sequence = m_nextSequence++;
     return share_report { team, it.epoch, it.sequence, held.ratePerSecond, held.burst, returnedTokens, it.demandPerSecond,
         static_cast<double>(it.waiting), held.tokens, it.appliedSequence };
@@ -145,6 +153,8 @@
 std::vector<share_report> allowance_holder::dueReports(instant now)
 {
     std::vector<share_report> reports;
+    if (!m_isMember)
+        return reports;
     for (auto& [team, it] : m_rows) {
         decayDemand(it, now);
         dropIfVoid(it, now);
@@ -180,6 +190,7 @@
     mine.targetRate = it.targetRate;
     mine.targetBurst = it.targetBurst;
     mine.targetTokens = it.targetTokens;
+    mine.hasExcess = mine.waiting == 0 && mine.held.tokens >= it.targetTokens + 1;
     mine.askAgainAfter = std::min<duration>(std::chrono::milliseconds(it.waitMs), longestWait);
     // A repeated answer must not be added twice.
     mine.appliedSequence = mine.sequence;
--- a/Source/Core/allowance_home.cxx
+++ b/Source/Core/allowance_home.cxx
@@ -10,19 +10,21 @@
     // A holder is given this multiple of its demand as its part of the rate; the
     // rest accrues at the home.
     constexpr double rateHeadroom = 1.25;
-// A holder keeps a stock of at most this many seconds of its demand.
-constexpr double stockSeconds = 2.0;
-// Part of all tokens that holders keep as stock.
-constexpr double lentPart = 0.5;
-// Time for which a holder's own accrual must find room between two reports.
-constexpr double accrualSeconds = 0.5;
-// Bounds of the time after which a holder that is short asks again.
-constexpr std::uint32_t shortestWaitMs = 10;
-constexpr std::uint32_t longestWaitMs = 100;
-// Sums of fractions may fall short of a whole token by a rounding error.
-constexpr double rounding = 1e-9;
+    // A holder keeps a stock of at most this many seconds of its demand.
+    constexpr double stockSeconds = 2.0;
+    // Part of all tokens that holders keep as stock.
+    constexpr double lentPart = 0.5;
+    // Time for which a holder's own accrual must find room between two reports.
+    constexpr double accrualSeconds = 0.5;
+    // Bounds of the time after which a holder that is short asks again.
+    constexpr std::uint32_t shortestWaitMs = 10;
+    constexpr std::uint32_t longestWaitMs = 100;
+    // Sums of fractions may fall short of a whole token by a rounding error.
+    constexpr double rounding = 1e-9;
     // Demand of a holder counts for this long after its last report.
     constexpr duration demandMemory = std::chrono::seconds(2);
+    // Other holders give up their stock for this long after one had too little.
+    constexpr duration shortageMemory = std::chrono::milliseconds(500);
     // An empty loan is kept for longer than any report can be under way, so that a
     // late one is still recognised by its number.
     constexpr duration emptyLoanMemory = std::chrono::seconds(60);
@@ -68,6 +70,9 @@
         }
         settle(it, now);
     }
+    m_roster.clear();
+    for (const auto& [name, member] : held.hosts())
+        m_roster[name] = member.incarnation;
     m_shards.clear();
     for (const auto& [shard, home] : held.shardHomes()) {
         if (home.host == self && home.incarnation == selfIncarnation)
@@ -126,16 +131,19 @@
 {
     const double demand = std::max(totalDemand(it, demandMemory, now), 1e-9);
     const double part = report.demandPerSecond / demand;
-    if (report.demandPerSecond >= m_settings.leastDemandForRate)
+    if (std::min(report.demandPerSecond, it.ratePerSecond * part) >= m_settings.leastRateLent)
         grant.targetRate = std::min(it.ratePerSecond * part, rateHeadroom * report.demandPerSecond);
 
     double tokens = it.pool.tokens;
-    for (const auto& [holder, given] : it.loans)
+    bool isSomeoneShort = false;
+    for (const auto& [holder, given] : it.loans) {
         tokens += given.heldTokens;
+        isSomeoneShort = isSomeoneShort || (given.unmetTokens > 0 && now - given.reportedAt <= shortageMemory);
+    }
     // While there is plenty, holders keep a stock near their guests; as the
     // bucket empties, what is left gathers at the home, where all can reach it.
     const double stock = std::min(lentPart * tokens * part, stockSeconds * report.demandPerSecond + 1);
-    grant.targetTokens = std::floor(stock);
+    grant.targetTokens = isSomeoneShort ? 0 : std::floor(stock);
     grant.targetBurst = grant.targetTokens;
     if (grant.targetRate > 0)
         grant.targetBurst += grant.targetRate * accrualSeconds + 1;
@@ -152,6 +160,9 @@
     const auto found = m_rows.find(report.team);
     if (found == m_rows.end() || found->second.epoch != report.epoch)
         return std::nullopt;
+    const auto member = m_roster.find(holder);
+    if (member == m_roster.end() || member->second != holderIncarnation)
+        return std::nullopt;
     row& it = found->second;
     loan& given = it.loans[holder_key { holder, holderIncarnation }];
     if (report.sequence <= given.sequence || given.goneAt)
@@ -185,6 +196,7 @@
     const double neededBurst = std::max(grant.targetBurst, report.heldTokens + grant.addedTokens);
     grant.addedBurst = std::clamp(neededBurst - report.burst, 0.0, it.pool.burst);
     grant.addedTokens = std::min(grant.addedTokens, std::max(0.0, report.burst + grant.addedBurst - report.heldTokens));
+    given.unmetTokens = std::max(0.0, report.wantedTokens - report.heldTokens - grant.addedTokens);
     if (grant.addedTokens < missing)
         grant.waitMs = waitForTokens(it, missing - grant.addedTokens);
 
--- a/Source/Core/fleet_member.cxx
+++ b/Source/Core/fleet_member.cxx
@@ -191,6 +191,10 @@
 {
     effects.advanced = true;
     effects.wasFresh = wasFresh;
+    effects.isMember = isInRoster();
+    if (m_wasInRoster && !effects.isMember)
+        ++m_settings.incarnation;
+    m_wasInRoster = effects.isMember;
     m_freshness.forgetOthersThan(m_held->hosts());
     std::erase_if(m_joinedAt, [this](const auto& entry) { return !m_held->hosts().count(entry.first); });
     for (const auto& [name, member] : m_held->hosts()) {
--- a/Source/Core/fleet_member.h
+++ b/Source/Core/fleet_member.h
@@ -57,6 +57,8 @@
     bool advanced = false;
     // Whether the host was fresh just before it advanced.
     bool wasFresh = false;
+    // Whether the host is in the roster without having been taken off it since.
+    bool isMember = false;
     std::vector<share_grant> grants;
     std::vector<remote_sample> samples;
     std::vector<outgoing_message> messages;
@@ -111,6 +113,10 @@
     // Returns whether this host's incarnation is in the roster.
     bool isInRoster() const;
 
+    // Returns the incarnation under which the host joins. It grows when the
+    // host has been taken off the roster, so that it never returns unnoticed.
+    std::uint64_t incarnation() const { return m_settings.incarnation; }
+
     // Returns whether a change of the roster may be committed now.
     bool mayChangeRoster() const;
     bool isConfirmed(config_version) const;
@@ -185,6 +191,7 @@
     std::uint64_t m_nextEvidence = 1;
     std::uint64_t m_nextReport = 1;
     std::map<std::string, origin_row> m_origins;
+    bool m_wasInRoster = false;
     std::optional<instant> m_exchangedAt;
     std::optional<instant> m_storePolledAt;
     std::map<std::string, joined_row> m_joinedAt;
--- a/Source/Core/traffic_core.cxx
+++ b/Source/Core/traffic_core.cxx
@@ -18,10 +18,10 @@
 {
 }
 
-void traffic_core::adopt(std::shared_ptr<const configuration> held, bool wasFresh, instant now)
+void traffic_core::adopt(std::shared_ptr<const configuration> held, bool wasFresh, bool isMember, instant now)
 {
     m_held = std::move(held);
-    m_holder.adopt(*m_held, wasFresh, now);
+    m_holder.adopt(*m_held, wasFresh, isMember, now);
     m_router.adopt(*m_held, now);
 }
 
--- a/Source/Core/traffic_core.h
+++ b/Source/Core/traffic_core.h
@@ -59,7 +59,7 @@
     traffic_core(const traffic_settings&, std::string host, std::string dataCentre, std::uint64_t seed);
 
     // Follows a newer configuration.
-    void adopt(std::shared_ptr<const configuration>, bool wasFresh, instant now);
+    void adopt(std::shared_ptr<const configuration>, bool wasFresh, bool isMember, instant now);
 
     // Keyed routes are served up to this instant, unless it is moved on.
     void setFreshUntil(instant until) { m_freshUntil = until; }
--- a/Source/control_loop.cxx
+++ b/Source/control_loop.cxx
@@ -131,7 +131,8 @@
     const instant now = presentInstant();
     if (effects.advanced) {
         m_runtime.counters().add(event::ChangesApplied);
-        m_runtime.publish(m_member.held(), effects.wasFresh, now);
+        m_runtime.publish(m_member.held(), effects.wasFresh, effects.isMember, now);
+        m_runtime.setMember(effects.isMember);
         logInfo(absl::StrCat("event=configuration version=", m_member.held()->version()));
     }
     const instant until = m_member.freshUntil(now);
@@ -279,7 +280,7 @@
     if (!m_member.isInRoster()) {
         const auto& settings = m_runtime.settings();
         if (m_member.mayChangeRoster() && !m_hasLeft)
-            commands.push_back(formatCommand(join_host { host { settings.hostName, m_runtime.incarnation(), settings.peerAddress, settings.dataCentre, false } }));
+            commands.push_back(formatCommand(join_host { host { settings.hostName, m_member.incarnation(), settings.peerAddress, settings.dataCentre, false } }));
     } else {
         commands = m_member.proposals(now);
     }
@@ -393,7 +394,7 @@
 
 void control_loop::leaveRoster()
 {
-    const std::string command = formatCommand(leave_host { m_runtime.settings().hostName, m_runtime.incarnation() });
+    const std::string command = formatCommand(leave_host { m_runtime.settings().hostName, withMember([](fleet_member& member) { return member.incarnation(); }) });
     change it { drawChangeId(), 0, systemAuthor, unixMs(), command };
     const instant deadline = presentInstant() + confirmationTimeout;
     absl::Status refusal;
--- a/Source/host_runtime.cxx
+++ b/Source/host_runtime.cxx
@@ -54,11 +54,11 @@
 {
 }
 
-void host_runtime::publish(std::shared_ptr<const configuration> held, bool wasFresh, instant now)
+void host_runtime::publish(std::shared_ptr<const configuration> held, bool wasFresh, bool isMember, instant now)
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_traffic.adopt(held, wasFresh, now);
+        m_traffic.adopt(held, wasFresh, isMember, now);
     }
     m_held.store(std::move(held));
 }
@@ -135,7 +135,7 @@
 
 bool host_runtime::isReady() const
 {
-    return !m_isStopping && m_isFresh && m_held.load()->shardHomes().size() == shardCount;
+    return !m_isStopping && m_isFresh && m_isMember && m_held.load()->shardHomes().size() == shardCount;
 }
 
 } // namespace almondmoor
--- a/Source/host_runtime.h
+++ b/Source/host_runtime.h
@@ -63,7 +63,7 @@
 
     // Returns the configuration that traffic goes by.
     std::shared_ptr<const configuration> held() const { return m_held.load(); }
-    void publish(std::shared_ptr<const configuration>, bool wasFresh, instant now);
+    void publish(std::shared_ptr<const configuration>, bool wasFresh, bool isMember, instant now);
 
     // Runs a function on the traffic core under its mutex.
     template <typename Function>
@@ -102,10 +102,12 @@
     bool isStopping() const { return m_isStopping; }
     void beginStop() { m_isStopping = true; }
 
-    // Returns whether guests may come: the configuration is fresh, every team
-    // has a home for its allowance, and no stop has begun.
+    // Returns whether guests may come: the configuration is fresh, the host
+    // is in the roster, every team has a home for its allowance, and no stop has
+    // begun.
     bool isReady() const;
     void setFresh(bool isFresh) { m_isFresh = isFresh; }
+    void setMember(bool isMember) { m_isMember = isMember; }
 
     metrics& counters() { return m_metrics; }
     upstream_pool& upstreams() { return m_upstreams; }
@@ -130,6 +132,7 @@
     std::atomic<std::shared_ptr<const configuration>> m_held;
     std::atomic<bool> m_isStopping { false };
     std::atomic<bool> m_isFresh { false };
+    std::atomic<bool> m_isMember { false };
     std::atomic<std::uint64_t> m_nextRequest { 1 };
     std::function<void()> m_onShortage;
 
--- a/Source/settings.cxx
+++ b/Source/settings.cxx
@@ -24,7 +24,7 @@
 DEFINE_uint32(request_timeout_ms, 10000, "Time for a request whose guest gave no deadline.");
 DEFINE_uint32(connect_timeout_ms, 500, "Time to connect to an upstream.");
 DEFINE_uint32(platform_timeout_ms, 1000, "Time for a call to the platform.");
-DEFINE_uint32(token_wait_ms, 250, "Time for which a request waits for a part of its team's allowance.");
+DEFINE_uint32(token_wait_ms, 400, "Time for which a request waits for a part of its team's allowance.");
 DEFINE_uint32(largest_body_mb, 4096, "Largest request body.");
 DEFINE_uint32(retry_percent, 10, "Retries allowed per hundred first attempts.");
 DEFINE_uint32(freshness_limit_ms, 3500, "Age of the configuration's evidence from which keyed routes are refused.");
--- a/Tests/Fleet/fake_fleet.cxx
+++ b/Tests/Fleet/fake_fleet.cxx
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr duration proposalInterval = std::chrono::milliseconds(300);
-constexpr duration tokenRetry = std::chrono::milliseconds(10);
+    constexpr duration proposalInterval = std::chrono::milliseconds(300);
+    constexpr duration tokenRetry = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -112,7 +112,8 @@
 {
     const auto& left = m_nodes[from].settings.dataCentre;
     const auto& right = m_nodes[to].settings.dataCentre;
-    const duration base = left == right ? m_options.nearDelay : regionOf(left) == regionOf(right) ? m_options.regionDelay : m_options.farDelay;
+    const duration base = left == right ? m_options.nearDelay : regionOf(left) == regionOf(right) ? m_options.regionDelay
+                                                                                                  : m_options.farDelay;
     return base + duration(std::uniform_int_distribution<std::int64_t>(0, base.count() / 5)(m_random));
 }
 
@@ -124,12 +125,14 @@
     const unsigned to = target->second;
     ++m_totals.messages;
     ++m_totals.messagesByKind[message.kind];
-    const unsigned copies = draw(m_options.loss) ? 0 : draw(m_options.repeat) ? 2 : 1;
+    const unsigned copies = draw(m_options.loss) ? 0 : draw(m_options.repeat) ? 2
+                                                                              : 1;
     for (unsigned copy = 0; copy < copies && !isCut(from, to); ++copy) {
         deliver(to, delayBetween(from, to), [this, from, to, request = message.message] {
             handle(to, m_nodes[to].member->receive(request, m_now));
             const peer_message reply = m_nodes[to].member->reply(request, m_now);
-            const unsigned replies = draw(m_options.loss) ? 0 : draw(m_options.repeat) ? 2 : 1;
+            const unsigned replies = draw(m_options.loss) ? 0 : draw(m_options.repeat) ? 2
+                                                                                       : 1;
             for (unsigned index = 0; index < replies && !isCut(to, from); ++index)
                 deliver(from, delayBetween(to, from), [this, from, reply] { handle(from, m_nodes[from].member->receive(reply, m_now)); });
         });
@@ -140,7 +143,7 @@
 {
     node& it = m_nodes[host];
     if (effects.advanced)
-        it.traffic->adopt(it.member->held(), effects.wasFresh, m_now);
+        it.traffic->adopt(it.member->held(), effects.wasFresh, effects.isMember, m_now);
     it.traffic->setFreshUntil(it.member->freshUntil(m_now));
     for (const share_grant& grant : effects.grants)
         it.traffic->holder().applyGrant(grant, m_now);
@@ -194,7 +197,7 @@
     std::vector<std::string> commands;
     if (!it.member->isInRoster()) {
         if (it.member->mayChangeRoster())
-            commands.push_back(formatCommand(join_host { almondmoor::host { it.settings.host, it.settings.incarnation, it.settings.peerAddress, it.settings.dataCentre, false } }));
+            commands.push_back(formatCommand(join_host { almondmoor::host { it.settings.host, it.member->incarnation(), it.settings.peerAddress, it.settings.dataCentre, false } }));
     } else {
         commands = it.member->proposals(m_now);
     }
--- a/Tests/Fleet/fake_fleet.h
+++ b/Tests/Fleet/fake_fleet.h
@@ -36,7 +36,7 @@
     double loss = 0;
     double repeat = 0;
     duration tickInterval = std::chrono::milliseconds(50);
-    duration tokenWait = std::chrono::milliseconds(250);
+    duration tokenWait = std::chrono::milliseconds(400);
     // Writes the roster and the homes of all shards into the log before the
     // hosts start, so that a test need not wait for them to form.
     bool isPreformed = true;
