Tests: Hold guests' answers against what upstreams ran

Cause: each outcome that a guest is told must be true at every step at which an upstream, the store or the guest can fail.

--- a/Source/peer_codec.cxx
+++ b/Source/peer_codec.cxx
@@ -50,7 +50,7 @@
         to.set_demand_per_second(from.demandPerSecond);
         to.set_wanted_tokens(from.wantedTokens);
         to.set_held_tokens(from.heldTokens);
-    to.set_applied_sequence(from.appliedSequence);
+        to.set_applied_sequence(from.appliedSequence);
     }
 
     bool isAmount(double value)
@@ -80,8 +80,8 @@
         to.set_added_tokens(from.addedTokens);
         to.set_target_rate(from.targetRate);
         to.set_target_burst(from.targetBurst);
-    to.set_target_tokens(from.targetTokens);
-    to.set_wait_ms(from.waitMs);
+        to.set_target_tokens(from.targetTokens);
+        to.set_wait_ms(from.waitMs);
     }
 
     share_grant readGrant(const wire::ShareGrant& from)
--- a/Tests/Fleet/allowance_test.cxx
+++ b/Tests/Fleet/allowance_test.cxx
@@ -3,81 +3,81 @@
 
 #include "Fleet/fake_fleet.h"
 
+#include <absl/strings/str_format.h>
 #include <catch2/catch.hpp>
 #include <iostream>
-#include <absl/strings/str_format.h>
 
 namespace almondmoor {
 
 namespace {
 
-using namespace std::chrono_literals;
+    using namespace std::chrono_literals;
 
-const std::vector<std::string> sixDataCentres { "lagos-1", "lagos-2", "kano-1", "kano-2", "enugu-1", "enugu-2" };
+    const std::vector<std::string> sixDataCentres { "lagos-1", "lagos-2", "kano-1", "kano-2", "enugu-1", "enugu-2" };
 
-// Sends Poisson arrivals of a team to some hosts for a time.
-void offer(fake_fleet& fleet, const std::string& team, double ratePerSecond, const std::vector<unsigned>& hosts, duration span)
-{
-    std::exponential_distribution<double> gap(ratePerSecond);
-    std::uniform_int_distribution<std::size_t> choice(0, hosts.size() - 1);
-    for (double at = gap(fleet.random()); at < toSeconds(span); at += gap(fleet.random())) {
-        const unsigned host = hosts[choice(fleet.random())];
-        fleet.at(fleet.now() + fromSeconds(at), [&fleet, host, team] { fleet.request(host, team); });
+    // Sends Poisson arrivals of a team to some hosts for a time.
+    void offer(fake_fleet& fleet, const std::string& team, double ratePerSecond, const std::vector<unsigned>& hosts, duration span)
+    {
+        std::exponential_distribution<double> gap(ratePerSecond);
+        std::uniform_int_distribution<std::size_t> choice(0, hosts.size() - 1);
+        for (double at = gap(fleet.random()); at < toSeconds(span); at += gap(fleet.random())) {
+            const unsigned host = hosts[choice(fleet.random())];
+            fleet.at(fleet.now() + fromSeconds(at), [&fleet, host, team] { fleet.request(host, team); });
+        }
     }
-}
 
-void formFleet(fake_fleet& fleet)
-{
-    REQUIRE(fleet.runUntil([&] { return fleet.member(0).held()->hosts().size() == fleet.size() && fleet.member(0).held()->shardHomes().size() == shardCount; }, 200s));
-    fleet.run(2s);
-}
+    void formFleet(fake_fleet& fleet)
+    {
+        REQUIRE(fleet.runUntil([&] { return fleet.member(0).held()->hosts().size() == fleet.size() && fleet.member(0).held()->shardHomes().size() == shardCount; }, 200s));
+        fleet.run(2s);
+    }
 
-std::vector<unsigned> allHosts(const fake_fleet& fleet)
-{
-    std::vector<unsigned> hosts;
-    for (unsigned host = 0; host < fleet.size(); ++host)
-        hosts.push_back(host);
-    return hosts;
-}
+    std::vector<unsigned> allHosts(const fake_fleet& fleet)
+    {
+        std::vector<unsigned> hosts;
+        for (unsigned host = 0; host < fleet.size(); ++host)
+            hosts.push_back(host);
+        return hosts;
+    }
 
 } // namespace
 
 namespace {
 
-struct spread_case {
-    const char* name;
-    std::vector<unsigned> hosts;
-    double rate;
-    double burst;
-};
-
-// Offers a team 0.95 of its rate for 65 s and compares what was refused after
-// the first 5 s with what one bucket for the whole fleet would refuse: arrivals
-// beyond that bucket are above the team's rate and burst.
-void checkSpread(const spread_case& it, std::uint64_t seed)
-{
-    fleet_options options;
-    options.hosts = 40;
-    options.dataCentres = sixDataCentres;
-    options.seed = seed;
-    fake_fleet fleet(options);
-    formFleet(fleet);
-    REQUIRE(fleet.commit(0, absl::StrFormat("create team cooling rate %g/s burst %g", it.rate, it.burst)));
-    fleet.run(2s);
-    fleet.clearCounts();
-    offer(fleet, "cooling", 0.95 * it.rate, it.hosts.empty() ? allHosts(fleet) : it.hosts, 65s);
-    fleet.run(5s);
-    const auto refusedEarly = fleet.refused("cooling");
-    fleet.run(62s);
-    const auto refusedLater = fleet.refused("cooling") - refusedEarly;
-    const auto byOneBucket = fake_fleet::refusedByOneBucket(fleet.arrived("cooling"), it.rate, it.burst);
-    const double excess = std::max(0.0, static_cast<double>(refusedLater) - static_cast<double>(byOneBucket));
-    const double part = excess / static_cast<double>(fleet.arrived("cooling").size());
-    std::cout << absl::StrFormat("allowance: %-24s seed %d refused beyond one bucket %.3f%% (%d early), by one bucket %d, messages/s/host %.1f\n", it.name, seed,
-        100 * part, refusedEarly, byOneBucket, static_cast<double>(fleet.totals().messages) / 67 / fleet.size());
-    CHECK(fake_fleet::conforms(fleet.admitted("cooling"), it.rate, it.burst));
-    CHECK(part < 0.005);
-}
+    struct spread_case {
+        const char* name;
+        std::vector<unsigned> hosts;
+        double rate;
+        double burst;
+    };
+
+    // Offers a team 0.95 of its rate for 65 s and compares what was refused after
+    // the first 5 s with what one bucket for the whole fleet would refuse: arrivals
+    // beyond that bucket are above the team's rate and burst.
+    void checkSpread(const spread_case& it, std::uint64_t seed)
+    {
+        fleet_options options;
+        options.hosts = 40;
+        options.dataCentres = sixDataCentres;
+        options.seed = seed;
+        fake_fleet fleet(options);
+        formFleet(fleet);
+        REQUIRE(fleet.commit(0, absl::StrFormat("create team cooling rate %g/s burst %g", it.rate, it.burst)));
+        fleet.run(2s);
+        fleet.clearCounts();
+        offer(fleet, "cooling", 0.95 * it.rate, it.hosts.empty() ? allHosts(fleet) : it.hosts, 65s);
+        fleet.run(5s);
+        const auto refusedEarly = fleet.refused("cooling");
+        fleet.run(62s);
+        const auto refusedLater = fleet.refused("cooling") - refusedEarly;
+        const auto byOneBucket = fake_fleet::refusedByOneBucket(fleet.arrived("cooling"), it.rate, it.burst);
+        const double excess = std::max(0.0, static_cast<double>(refusedLater) - static_cast<double>(byOneBucket));
+        const double part = excess / static_cast<double>(fleet.arrived("cooling").size());
+        std::cout << absl::StrFormat("allowance: %-24s seed %d refused beyond one bucket %.3f%% (%d early), by one bucket %d, messages/s/host %.1f\n", it.name, seed,
+            100 * part, refusedEarly, byOneBucket, static_cast<double>(fleet.totals().messages) / 67 / fleet.size());
+        CHECK(fake_fleet::conforms(fleet.admitted("cooling"), it.rate, it.burst));
+        CHECK(part < 0.005);
+    }
 
 } // namespace
 
--- /dev/null
+++ b/Tests/Serve/host_fixture.cxx
@@ -0,0 +1,190 @@
+#include "Serve/host_fixture.h"
+
+#include <absl/strings/str_cat.h>
+#include <unistd.h>
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr duration patience = std::chrono::seconds(20);
+    constexpr unsigned firstPort = 20'000;
+    constexpr unsigned portsPerProcess = 40;
+    constexpr unsigned portBlocks = 250;
+
+    // Tests run side by side in processes of their own; each takes other ports.
+    unsigned portBase()
+    {
+        return firstPort + static_cast<unsigned>(getpid()) % portBlocks * portsPerProcess;
+    }
+
+    std::string local(unsigned offset)
+    {
+        return absl::StrCat("127.0.0.1:", portBase() + offset);
+    }
+
+} // namespace
+
+raw_guest::raw_guest(const std::string& address)
+{
+    Poco::Net::StreamSocket socket;
+    REQUIRE(byte_stream::connect(address, presentInstant() + patience, socket).ok());
+    m_stream = std::make_unique<byte_stream>(std::move(socket));
+}
+
+void raw_guest::send(const std::string& bytes)
+{
+    (void)m_stream->send(bytes, presentInstant() + patience);
+}
+
+std::string raw_guest::receive()
+{
+    const instant deadline = presentInstant() + patience;
+    while (!headLength(m_stream->buffered())) {
+        if (!m_stream->receive(deadline).ok())
+            return std::string(m_stream->buffered());
+    }
+    const std::size_t length = *headLength(m_stream->buffered());
+    std::string answer(m_stream->buffered().substr(0, length));
+    m_stream->consume(length);
+    Poco::Net::HTTPResponse response;
+    body_framing framing;
+    if (!readResponseHead(answer, "GET", response, framing).ok())
+        return answer;
+    body_reader body(*m_stream, framing);
+    while (!body.isAtEnd()) {
+        const auto piece = body.next(deadline);
+        if (!piece.ok())
+            return answer + "[cut]";
+        answer += *piece;
+    }
+    return answer;
+}
+
+std::string raw_guest::ask(const std::string& bytes)
+{
+    send(bytes);
+    return receive();
+}
+
+host_fixture::host_fixture(unsigned upstreams, const std::function<void(serve_settings&)>& adjust)
+    : m_platform(std::make_shared<memory_platform>())
+{
+    m_settings.hostName = "host-1";
+    m_settings.dataCentre = "local-1";
+    m_settings.guestAddress = local(0);
+    m_settings.operatorAddress = local(1);
+    m_settings.peerAddress = local(2);
+    m_settings.operatorKey = "operator-secret";
+    m_settings.guestWorkers = 64;
+    m_settings.guestConnections = 4096;
+    m_settings.headTimeout = std::chrono::seconds(5);
+    m_settings.bodyTimeout = std::chrono::seconds(5);
+    m_settings.idleTimeout = std::chrono::seconds(60);
+    m_settings.requestTimeout = std::chrono::seconds(5);
+    m_settings.connectTimeout = std::chrono::milliseconds(500);
+    m_settings.tokenWait = std::chrono::milliseconds(400);
+    m_settings.largestBody = std::uint64_t { 4 } << 30;
+    m_settings.seed = 7;
+    // A test looks at few requests; their retries must not hang on a saved budget.
+    m_settings.traffic.budget.first = 5;
+    if (adjust)
+        adjust(m_settings);
+
+    for (unsigned index = 0; index < upstreams; ++index)
+        m_upstreams.push_back(std::make_unique<stand_in_upstream>(upstreamAddress(index)));
+    m_runtime = std::make_unique<host_runtime>(m_settings, any_platform(m_platform));
+    m_control = std::make_unique<control_loop>(*m_runtime);
+    m_operators = std::make_unique<operator_handler>(*m_runtime, *m_control);
+    REQUIRE(m_control->start().ok());
+    const listener_settings settings { m_settings.guestAddress, m_settings.guestWorkers, m_settings.guestConnections, m_settings.headTimeout, m_settings.idleTimeout };
+    m_guests = std::make_unique<http_listener>(
+        settings, [this](http_exchange& exchange) { return guest_handler(*m_runtime, exchange).serve(); },
+        listener_events { [] {}, [this] { m_runtime->counters().add(event::ConnectionsRefused); }, [](bool) {} });
+    m_guests->start();
+
+    const instant deadline = presentInstant() + patience;
+    while (!m_runtime->isReady() && presentInstant() < deadline)
+        std::this_thread::yield();
+    REQUIRE(m_runtime->isReady());
+    command("create team cooling rate 100000/s burst 100000");
+    command("create team harbour rate 100000/s burst 100000");
+    command("create service refills floor 50%");
+    for (unsigned index = 0; index < upstreams; ++index)
+        command(absl::StrCat("create upstream ", upstreamAddress(index), " for service refills in local-1 slots 64"));
+    command("create route /refills to refills teams cooling repeatable");
+    command("create route /payments to refills teams cooling");
+    command("create route /open to refills open repeatable");
+    command("create route /harbour to refills teams harbour repeatable");
+    const std::string reply = command("create key k-1 for team cooling");
+    const auto at = reply.find(" secret ") + 8;
+    m_secret = reply.substr(at, reply.find('\n', at) - at);
+}
+
+host_fixture::~host_fixture()
+{
+    // Upstreams that hold requests would keep the listener waiting.
+    for (auto& it : m_upstreams) {
+        if (it)
+            it->hold(false);
+    }
+    m_guests->stop();
+    m_control->stop();
+}
+
+std::string host_fixture::upstreamAddress(unsigned index) const
+{
+    return local(10 + index);
+}
+
+std::string host_fixture::command(const std::string& line)
+{
+    int status = 0;
+    std::string reply = m_operators->run(line, "test", status);
+    INFO(line << " -> " << reply);
+    REQUIRE(status == 200);
+    return reply;
+}
+
+std::string host_fixture::text(const std::string& method, const std::string& path, const std::string& body, const std::string& headers) const
+{
+    std::string request = absl::StrCat(method, " ", path, " HTTP/1.1\r\nHost: almondmoor\r\nAuthorization: Bearer ", m_secret, "\r\n", headers);
+    if (method == "POST")
+        absl::StrAppend(&request, "Content-Length: ", body.size(), "\r\n");
+    return absl::StrCat(request, "\r\n", body);
+}
+
+std::string host_fixture::get(const std::string& path, const std::string& headers)
+{
+    return raw_guest(guestAddress()).ask(text("GET", path, "", headers));
+}
+
+std::string host_fixture::post(const std::string& path, const std::string& body, const std::string& headers)
+{
+    return raw_guest(guestAddress()).ask(text("POST", path, body, headers));
+}
+
+std::size_t host_fixture::runCount()
+{
+    std::size_t count = 0;
+    for (const auto& it : m_upstreams)
+        count += it ? it->runs().size() : 0;
+    return count;
+}
+
+std::string headerOf(const std::string& answer, const std::string& name)
+{
+    const std::string start = absl::StrCat("\r\n", name, ": ");
+    const auto at = answer.find(start);
+    if (at == std::string::npos)
+        return {};
+    const auto from = at + start.size();
+    return answer.substr(from, answer.find("\r\n", from) - from);
+}
+
+int statusOf(const std::string& answer)
+{
+    return answer.size() > 12 ? std::atoi(answer.c_str() + 9) : 0;
+}
+
+} // namespace almondmoor
--- /dev/null
+++ b/Tests/Serve/wire_test.cxx
@@ -0,0 +1,179 @@
+// Raw bytes on the guest port: ambiguous heads, slow and many guests, and
+// bodies that stream.
+
+#include "Serve/host_fixture.h"
+
+#include <absl/strings/str_cat.h>
+#include <fstream>
+
+namespace almondmoor {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    struct head_case {
+        const char* name;
+        std::string bytes;
+        int status;
+    };
+
+    const std::vector<head_case> badHeads {
+        { "length and coding", "POST /open HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "two lengths", "POST /open HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400 },
+        { "equal lengths twice", "POST /open HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400 },
+        { "signed length", "POST /open HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\nabc", 400 },
+        { "length list", "POST /open HTTP/1.1\r\nHost: a\r\nContent-Length: 3, 3\r\n\r\nabc", 400 },
+        { "unknown coding", "POST /open HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "two codings", "POST /open HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "coding in HTTP/1.0", "POST /open HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "bad chunk size", "POST /open HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n", 400 },
+        { "negative chunk size", "POST /open HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\nabc\r\n0\r\n\r\n", 400 },
+        { "chunk longer than its size", "POST /open HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n", 400 },
+        { "space before the colon", "GET /open HTTP/1.1\r\nHost : a\r\n\r\n", 400 },
+        { "folded header", "GET /open HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n\r\n", 400 },
+        { "NUL in a header", std::string("GET /open HTTP/1.1\r\nHost: a\r\nX: b\0c\r\n\r\n", 40), 400 },
+        { "bare LF", "GET /open HTTP/1.1\r\nHost: a\nX: b\r\n\r\n", 400 },
+        { "bare CR", "GET /open HTTP/1.1\r\nHost: a\rX: b\r\n\r\n", 400 },
+        { "no host", "GET /open HTTP/1.1\r\n\r\n", 400 },
+        { "two hosts", "GET /open HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400 },
+        { "HTTP/9.9", "GET /open HTTP/9.9\r\nHost: a\r\n\r\n", 400 },
+        { "CONNECT", "CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n", 400 },
+        { "absolute target", "GET http://a/open HTTP/1.1\r\nHost: a\r\n\r\n", 400 },
+        { "no version", "GET /open\r\nHost: a\r\n\r\n", 400 },
+        { "large head", absl::StrCat("GET /open HTTP/1.1\r\nHost: a\r\nX: ", std::string(20'000, 'x'), "\r\n\r\n"), 431 },
+        { "operator path", "POST /command HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nshow teams", 404 },
+    };
+
+    std::size_t residentKiB()
+    {
+        std::ifstream status("/proc/self/status");
+        std::string line;
+        while (std::getline(status, line)) {
+            if (line.rfind("VmRSS:", 0) == 0)
+                return std::stoul(line.substr(6));
+        }
+        return 0;
+    }
+
+} // namespace
+
+TEST_CASE("an ambiguous or oversized request is refused and the connection closed", "[wire]")
+{
+    host_fixture host;
+    for (const head_case& it : badHeads) {
+        INFO(it.name);
+        raw_guest guest(host.guestAddress());
+        const std::string answer = guest.ask(it.bytes);
+        CHECK(statusOf(answer) == it.status);
+        CHECK(headerOf(answer, "Almondmoor-Outcome") == "not-run");
+        if (it.status != 404)
+            CHECK(headerOf(answer, "Connection") == "close");
+    }
+    CHECK(host.runCount() == 0);
+}
+
+TEST_CASE("bodies pass whole in both directions and in every framing", "[wire]")
+{
+    host_fixture host;
+    const std::string chunked = "POST /open HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nX-T: secret\r\n\r\n";
+    CHECK(statusOf(raw_guest(host.guestAddress()).ask(chunked)) == 200);
+    CHECK(host.upstream().runs().back().body == "abc0123456789");
+    CHECK(host.upstream().runs().back().head.find("X-T") == std::string::npos);
+
+    const std::string large(1'000'000, 'z');
+    CHECK(statusOf(raw_guest(host.guestAddress()).ask(host.text("POST", "/refills", large, ""))) == 200);
+    CHECK(host.upstream().runs().back().body == large);
+
+    for (const char* query : { "?bytes=300000", "?bytes=300000&chunked=yes" }) {
+        const std::string answer = host.get(absl::StrCat("/refills", query));
+        const std::string body = answer.substr(answer.find("\r\n\r\n") + 4);
+        CHECK(body.size() == 300'000);
+        bool isPattern = true;
+        for (std::size_t index = 0; index < body.size(); ++index)
+            isPattern = isPattern && body[index] == static_cast<char>('a' + index % 23);
+        CHECK(isPattern);
+    }
+}
+
+TEST_CASE("answers without bodies leave the connection in step", "[wire]")
+{
+    host_fixture host;
+    raw_guest guest(host.guestAddress());
+    guest.send("HEAD /open HTTP/1.1\r\nHost: a\r\n\r\n");
+    guest.send("GET /open?status=204&bytes=0 HTTP/1.1\r\nHost: a\r\n\r\n");
+    guest.send("GET /open?status=304&bytes=0 HTTP/1.1\r\nHost: a\r\n\r\n");
+    guest.send("GET /open?bytes=5 HTTP/1.1\r\nHost: a\r\n\r\n");
+    const instant deadline = presentInstant() + 10s;
+    std::string all;
+    while (all.find("abcde") == std::string::npos && guest.stream().receive(deadline).ok())
+        all = std::string(guest.stream().buffered());
+    CHECK(all.find("HTTP/1.1 200") == 0);
+    CHECK(all.find("HTTP/1.1 204") != std::string::npos);
+    CHECK(all.find("HTTP/1.1 304") != std::string::npos);
+    CHECK(all.rfind("HTTP/1.1 200") > all.find("HTTP/1.1 304"));
+}
+
+TEST_CASE("each of many guests gets its own answer", "[wire]")
+{
+    host_fixture host(3);
+    std::atomic<unsigned> wrong { 0 };
+    std::vector<std::thread> threads;
+    for (unsigned thread = 0; thread < 8; ++thread) {
+        threads.emplace_back([&, thread] {
+            raw_guest guest(host.guestAddress());
+            for (unsigned number = 0; number < 50; ++number) {
+                const std::string mark = absl::StrCat("g", thread, "-", number);
+                const std::string answer = guest.ask(host.text("GET", absl::StrCat("/refills?delay-ms=", number % 3), "", absl::StrCat("Guest-Number: ", mark, "\r\n")));
+                wrong += headerOf(answer, "For") == mark ? 0 : 1;
+            }
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    CHECK(wrong == 0);
+}
+
+TEST_CASE("two thousand idle guests cost little and another is still served", "[wire]")
+{
+    host_fixture host;
+    const std::size_t before = residentKiB();
+    std::vector<std::unique_ptr<raw_guest>> idle;
+    for (unsigned number = 0; number < 2'000; ++number) {
+        idle.push_back(std::make_unique<raw_guest>(host.guestAddress()));
+        // Half of them have begun a head and never end it.
+        if (number % 2 == 0)
+            idle.back()->send("GET /open HTTP/1.1\r\nHos");
+    }
+    CHECK(statusOf(host.get("/refills")) == 200);
+    // The figure includes the guests' own sockets in this process.
+    CHECK(residentKiB() - before < 64 * 1024);
+}
+
+TEST_CASE("a large answer streams in bounded memory", "[wire]")
+{
+    host_fixture host;
+    const std::size_t before = residentKiB();
+    constexpr std::uint64_t size = std::uint64_t { 1 } << 30;
+    raw_guest guest(host.guestAddress());
+    guest.send(host.text("GET", absl::StrCat("/refills?bytes=", size), "", "Almondmoor-Deadline-Ms: 60000\r\n"));
+    const instant deadline = presentInstant() + 60s;
+    while (!headLength(guest.stream().buffered()))
+        REQUIRE(guest.stream().receive(deadline).ok());
+    guest.stream().consume(*headLength(guest.stream().buffered()));
+    body_reader body(guest.stream(), { body_kind::Length, size });
+    std::uint64_t received = 0;
+    bool isPattern = true;
+    while (!body.isAtEnd()) {
+        const auto piece = body.next(deadline);
+        REQUIRE(piece.ok());
+        if (!piece->empty())
+            isPattern = isPattern && piece->front() == static_cast<char>('a' + received % 23) && piece->back() == static_cast<char>('a' + (received + piece->size() - 1) % 23);
+        received += piece->size();
+    }
+    CHECK(received == size);
+    CHECK(isPattern);
+    CHECK(residentKiB() - before < 100 * 1024);
+}
+
+} // namespace almondmoor
