Health: Hold ejection while a whole service looks bad

Ruled out: a shorter window for the median alone (it would also follow one slow upstream of few); counting the service's slow rate (it lags by the same window). Change: no ejection while more than half of the upstreams in use look bad, and for 10 s after; an upstream must look bad for 400 ms. A host that cannot connect avoids the upstream by itself for 1 s, doubling.

--- a/Source/Core/allowance.h
+++ b/Source/Core/allowance.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace almondmoor {
@@ -211,7 +212,7 @@
     struct holder_key {
         std::string name;
         std::uint64_t incarnation = 0;
-        auto operator<=>(const holder_key&) const = default;
+        bool operator<(const holder_key& other) const { return std::tie(name, incarnation) < std::tie(other.name, other.incarnation); }
     };
 
     struct loan {
--- a/Source/Core/command.cxx
+++ b/Source/Core/command.cxx
@@ -153,7 +153,7 @@
     absl::StatusOr<command> parseCreateTeam(word_cursor& words)
     {
         create_team result;
-        const auto status = inOrder([&] { return takeName(words, "team", result.row.name); }, [&] { return words.expect("rate"); },
+        auto status = inOrder([&] { return takeName(words, "team", result.row.name); }, [&] { return words.expect("rate"); },
             [&] { return takeRate(words, result.row.ratePerSecond); }, [&] { return words.expect("burst"); },
             [&] { return takeBurst(words, result.row.burst); },
             [&] { return words.takeIf("weight") ? takeWeight(words, result.row.weight) : absl::OkStatus(); });
@@ -183,13 +183,13 @@
     {
         create_key result;
         if (!words.takeIf("for")) {
-            const auto status = takeName(words, "key", result.row.id);
+            auto status = takeName(words, "key", result.row.id);
             if (!status.ok())
                 return status;
             if (!words.takeIf("for"))
                 return words.error("expected 'for'");
         }
-        const auto status = inOrder([&] { return words.expect("team"); }, [&] { return takeName(words, "team", result.row.team); },
+        auto status = inOrder([&] { return words.expect("team"); }, [&] { return takeName(words, "team", result.row.team); },
             [&] { return words.takeIf("hash") ? takeName(words, "hash", result.row.secretHash) : absl::OkStatus(); });
         return finish(words, status, result);
     }
@@ -198,7 +198,7 @@
     {
         create_service result;
         double percent = result.row.floor * 100;
-        const auto status = inOrder([&] { return takeName(words, "service", result.row.name); },
+        auto status = inOrder([&] { return takeName(words, "service", result.row.name); },
             [&] { return words.takeIf("floor") ? takeNumber(words, "%", 0, 100, percent) : absl::OkStatus(); });
         result.row.floor = percent / 100;
         return finish(words, status, result);
@@ -228,7 +228,7 @@
             row.access = route_access::Open;
             return absl::OkStatus();
         }
-        const auto status = words.expect("teams");
+        auto status = words.expect("teams");
         if (!status.ok())
             return words.error("expected 'open' or 'teams'");
         if (words.takeIf("any"))
@@ -250,7 +250,7 @@
         auto& row = result.row;
         if (words.peek().empty() || words.peek().front() != '/')
             return words.error("expected a path that begins with /");
-        const auto status = inOrder([&] { return takeName(words, "route", row.prefix); }, [&] { return words.expect("to"); },
+        auto status = inOrder([&] { return takeName(words, "route", row.prefix); }, [&] { return words.expect("to"); },
             [&] { return takeName(words, "service", row.service); },
             [&] { return takeAccess(words, row); },
             [&] {
@@ -298,7 +298,7 @@
     absl::StatusOr<command> parseWithdraw(word_cursor& words)
     {
         withdraw_key result;
-        const auto status = inOrder([&] { return words.expect("key"); }, [&] { return takeName(words, "key", result.id); });
+        auto status = inOrder([&] { return words.expect("key"); }, [&] { return takeName(words, "key", result.id); });
         return finish(words, status, result);
     }
 
@@ -306,7 +306,7 @@
     {
         set_upstream_duty result;
         result.duty = duty;
-        const auto status = inOrder([&] { return words.expect("upstream"); }, [&] { return takeAddress(words, "upstream", result.address); });
+        auto status = inOrder([&] { return words.expect("upstream"); }, [&] { return takeAddress(words, "upstream", result.address); });
         return finish(words, status, result);
     }
 
@@ -330,7 +330,7 @@
 
     absl::Status takeIncarnation(word_cursor& words, std::uint64_t& incarnation)
     {
-        const auto status = words.expect("incarnation");
+        auto status = words.expect("incarnation");
         return status.ok() ? takeInteger<std::uint64_t>(words, 1, UINT64_MAX, incarnation) : status;
     }
 
@@ -338,7 +338,7 @@
     {
         join_host result;
         auto& row = result.row;
-        const auto status = inOrder([&] { return words.expect("host"); }, [&] { return takeName(words, "host", row.name); },
+        auto status = inOrder([&] { return words.expect("host"); }, [&] { return takeName(words, "host", row.name); },
             [&] { return takeIncarnation(words, row.incarnation); }, [&] { return words.expect("at"); },
             [&] { return takeAddress(words, "host", row.peerAddress); }, [&] { return words.expect("in"); },
             [&] { return takeName(words, "data centre", row.dataCentre); });
@@ -348,7 +348,7 @@
     absl::StatusOr<command> parseLeave(word_cursor& words)
     {
         leave_host result;
-        const auto status = inOrder([&] { return words.expect("host"); }, [&] { return takeName(words, "host", result.name); },
+        auto status = inOrder([&] { return words.expect("host"); }, [&] { return takeName(words, "host", result.name); },
             [&] { return takeIncarnation(words, result.incarnation); });
         return finish(words, status, result);
     }
@@ -369,7 +369,7 @@
     absl::StatusOr<command> parseAssign(word_cursor& words)
     {
         assign_shards result;
-        const auto status = inOrder([&] { return words.expect("shards"); }, [&] { return takeShards(words, result.shards); },
+        auto status = inOrder([&] { return words.expect("shards"); }, [&] { return takeShards(words, result.shards); },
             [&] { return words.expect("on"); }, [&] { return takeName(words, "host", result.host); },
             [&] { return takeIncarnation(words, result.incarnation); },
             [&] { result.inherited = !words.takeIf("unused"); return absl::OkStatus(); });
@@ -385,7 +385,7 @@
 
     absl::Status takeWhere(word_cursor& words, show_query& query)
     {
-        const auto column = takeName(words, "column", query.whereColumn);
+        auto column = takeName(words, "column", query.whereColumn);
         if (!column.ok())
             return column;
         const auto how = valueIn(comparisonNames, std::string_view(words.peek()));
@@ -419,14 +419,14 @@
     absl::StatusOr<command> parseExplain(word_cursor& words)
     {
         explain_query result;
-        const auto status = inOrder([&] { return words.expect("request"); }, [&] { return takeName(words, "request", result.requestId); });
+        auto status = inOrder([&] { return words.expect("request"); }, [&] { return takeName(words, "request", result.requestId); });
         return finish(words, status, result);
     }
 
     absl::StatusOr<command> parseStatus(word_cursor& words)
     {
         status_query result;
-        const auto status = inOrder([&] { return words.expect("change"); }, [&] { return takeName(words, "change", result.changeId); });
+        auto status = inOrder([&] { return words.expect("change"); }, [&] { return takeName(words, "change", result.changeId); });
         return finish(words, status, result);
     }
 
--- a/Source/Core/configuration.cxx
+++ b/Source/Core/configuration.cxx
@@ -53,7 +53,7 @@
 
     absl::Status operator()(const create_team& it)
     {
-        const auto status = mustNotExist(m_target.m_teams, it.row.name, "team");
+        auto status = mustNotExist(m_target.m_teams, it.row.name, "team");
         if (status.ok())
             m_target.m_teams.emplace(it.row.name, it.row);
         return status;
@@ -61,7 +61,7 @@
 
     absl::Status operator()(const change_team& it)
     {
-        const auto status = mustExist(m_target.m_teams, it.name, "team");
+        auto status = mustExist(m_target.m_teams, it.name, "team");
         if (!status.ok())
             return status;
         auto& row = m_target.m_teams.at(it.name);
@@ -73,7 +73,7 @@
 
     absl::Status operator()(const remove_team& it)
     {
-        const auto status = mustExist(m_target.m_teams, it.name, "team");
+        auto status = mustExist(m_target.m_teams, it.name, "team");
         if (!status.ok())
             return status;
         for (const auto& [id, key] : m_target.m_keys) {
@@ -104,7 +104,7 @@
 
     absl::Status operator()(const withdraw_key& it)
     {
-        const auto status = mustExist(m_target.m_keys, it.id, "key");
+        auto status = mustExist(m_target.m_keys, it.id, "key");
         if (!status.ok())
             return status;
         auto& key = m_target.m_keys.at(it.id);
@@ -117,7 +117,7 @@
 
     absl::Status operator()(const create_service& it)
     {
-        const auto status = mustNotExist(m_target.m_services, it.row.name, "service");
+        auto status = mustNotExist(m_target.m_services, it.row.name, "service");
         if (status.ok())
             m_target.m_services.emplace(it.row.name, it.row);
         return status;
@@ -135,7 +135,7 @@
 
     absl::Status operator()(const set_upstream_duty& it)
     {
-        const auto status = mustExist(m_target.m_upstreams, it.address, "upstream");
+        auto status = mustExist(m_target.m_upstreams, it.address, "upstream");
         if (status.ok())
             m_target.m_upstreams.at(it.address).duty = it.duty;
         return status;
@@ -157,7 +157,7 @@
 
     absl::Status operator()(const remove_route& it)
     {
-        const auto status = mustExist(m_target.m_routes, it.prefix, "route");
+        auto status = mustExist(m_target.m_routes, it.prefix, "route");
         if (status.ok())
             m_target.m_routes.erase(it.prefix);
         return status;
@@ -175,7 +175,7 @@
 
     absl::Status operator()(const leave_host& it)
     {
-        const auto status = mustExist(m_target.m_hosts, it.name, "host");
+        auto status = mustExist(m_target.m_hosts, it.name, "host");
         if (!status.ok())
             return status;
         if (m_target.m_hosts.at(it.name).incarnation != it.incarnation)
@@ -188,7 +188,7 @@
 
     absl::Status operator()(const drain_host& it)
     {
-        const auto status = mustExist(m_target.m_hosts, it.name, "host");
+        auto status = mustExist(m_target.m_hosts, it.name, "host");
         if (status.ok())
             m_target.m_hosts.at(it.name).draining = true;
         return status;
@@ -196,7 +196,7 @@
 
     absl::Status operator()(const assign_shards& it)
     {
-        const auto status = mustExist(m_target.m_hosts, it.host, "host");
+        auto status = mustExist(m_target.m_hosts, it.host, "host");
         if (m_from == source::Log && !status.ok())
             return status;
         for (const unsigned shard : it.shards)
@@ -228,7 +228,7 @@
     const auto parsed = parseCommand(it.command);
     if (!parsed.ok())
         return parsed.status();
-    const auto status = std::visit(configuration_editor(*this, it.version, configuration_editor::source::Log), *parsed);
+    auto status = std::visit(configuration_editor(*this, it.version, configuration_editor::source::Log), *parsed);
     if (!status.ok())
         return status;
     m_version = it.version;
@@ -308,7 +308,7 @@
         if (!parsed.ok())
             return parsed.status();
         const config_version epoch = epochAt == std::string::npos ? version : std::stoull(text.substr(epochAt + 7));
-        const auto status = std::visit(configuration_editor(result, epoch, configuration_editor::source::Snapshot), *parsed);
+        auto status = std::visit(configuration_editor(result, epoch, configuration_editor::source::Snapshot), *parsed);
         if (!status.ok())
             return status;
     }
--- a/Source/Core/endpoint_health.cxx
+++ b/Source/Core/endpoint_health.cxx
@@ -12,7 +12,7 @@
     // Samples that a service needs before its median means anything.
     constexpr double leastSamplesForMedian = 20;
     // Scores stop here, so that recovery does not depend on how long a fault lasted.
-    constexpr double greatestScore = 30;
+    constexpr double greatestScore = 15;
     // Crash fingerprints are forgotten after this time.
     constexpr duration crashMemory = std::chrono::minutes(5);
     // Rates near 1 would make the tests degenerate.
@@ -154,6 +154,17 @@
     return accusers > 0 && accusers >= std::min(m_settings.leastWitnesses, users);
 }
 
+bool endpoint_health::isConfirmedBad(endpoint_row& row, instant now) const
+{
+    if (row.score() < m_settings.ejectScore || !hasWitnesses(row, now)) {
+        row.badSince.reset();
+        return false;
+    }
+    if (!row.badSince)
+        row.badSince = now;
+    return now - *row.badSince >= m_settings.confirmFor;
+}
+
 void endpoint_health::moveTo(endpoint_row& row, endpoint_state to, bool heldByFloor, instant now, std::vector<health_transition>& moved) const
 {
     if (row.state == to)
@@ -177,6 +188,7 @@
     case endpoint_state::Trial:
         row.weight = m_settings.trialWeight;
         row.trialSince = now;
+        row.badSince.reset();
         row.failScore = 0;
         row.slowScore = 0;
         break;
@@ -199,7 +211,19 @@
         moveTo(row, endpoint_state::Active, false, now, moved);
 }
 
-void endpoint_health::tickService(const std::string&, const service_row& service, std::vector<endpoint_row*>& rows, instant now, std::vector<health_transition>& moved) const
+bool endpoint_health::isCorrelated(service_row& service, const std::vector<endpoint_row*>& rows, instant now) const
+{
+    // One bad answer of late is enough to look bad: when a whole service turns
+    // slow, its upstreams reach the ejecting score one after the other.
+    const double looksBad = m_settings.suspectScore / 2;
+    const auto used = std::count_if(rows.begin(), rows.end(), [](const endpoint_row* row) { return !row->witnesses.empty() && row->state != endpoint_state::Ejected; });
+    const auto bad = std::count_if(rows.begin(), rows.end(), [looksBad](const endpoint_row* row) { return row->score() >= looksBad && row->state != endpoint_state::Ejected; });
+    if (m_settings.compareWithService && used > 1 && static_cast<double>(bad) > m_settings.correlatedPart * static_cast<double>(used))
+        service.correlatedAt = now;
+    return now - service.correlatedAt <= m_settings.correlatedMemory;
+}
+
+void endpoint_health::tickService(service_row& service, std::vector<endpoint_row*>& rows, instant now, std::vector<health_transition>& moved) const
 {
     double total = 0;
     double usable = 0;
@@ -211,6 +235,8 @@
     }
     const double least = m_settings.keepFloor ? service.floor * total : 0;
 
+    const bool correlated = isCorrelated(service, rows, now);
+
     // The worst go first; all hosts rank alike from the same evidence.
     std::sort(rows.begin(), rows.end(), [](const endpoint_row* left, const endpoint_row* right) {
         return left->score() != right->score() ? left->score() > right->score() : left->address < right->address;
@@ -218,7 +244,7 @@
     for (endpoint_row* row : rows) {
         if (row->state == endpoint_state::Ejected)
             continue;
-        const bool isBad = row->score() >= m_settings.ejectScore && hasWitnesses(*row, now);
+        const bool isBad = isConfirmedBad(*row, now) && !correlated;
         const double given = row->duty == upstream_duty::Serving ? row->slots : 0;
         if (isBad && usable - given >= least) {
             moveTo(*row, endpoint_state::Ejected, false, now, moved);
@@ -252,7 +278,7 @@
         byService[row.service].push_back(&row);
     }
     for (auto& [name, rows] : byService)
-        tickService(name, m_services[name], rows, now, moved);
+        tickService(m_services[name], rows, now, moved);
     if (now - m_crashesSince >= crashMemory) {
         m_crashes.clear();
         m_crashesSince = now;
--- a/Source/Core/endpoint_health.h
+++ b/Source/Core/endpoint_health.h
@@ -96,6 +96,13 @@
     double slowFactor = 4;
     // Hosts that must have seen bad work before an upstream is ejected.
     std::size_t leastWitnesses = 2;
+    // While more than this part of a service's upstreams look bad, the service
+    // is, and nobody is ejected; nor for a time after.
+    double correlatedPart = 0.5;
+    duration correlatedMemory = std::chrono::seconds(10);
+    // An upstream must look bad for this long before it is ejected, so that a
+    // service that turns slow shows itself first.
+    duration confirmFor = std::chrono::milliseconds(400);
     duration witnessMemory = std::chrono::seconds(5);
     duration firstHold = std::chrono::seconds(5);
     duration longestHold = std::chrono::seconds(120);
@@ -125,6 +132,8 @@
     std::optional<instant> holdUntil;
     std::optional<instant> trialSince;
     duration nextHold {};
+    // Since when it has looked bad without a break.
+    std::optional<instant> badSince;
     instant goodSince;
     std::uint64_t ejections = 0;
     // Latest bad and latest any sample by host.
@@ -182,6 +191,8 @@
         double slow = 0;
         std::array<double, bucketCount> latencies {};
         instant decayedAt = longAgo;
+        // Latest instant at which most of its upstreams looked bad together.
+        instant correlatedAt = longAgo;
     };
 
     void decay(service_row&, instant now) const;
@@ -189,8 +200,10 @@
     bool isWorkEvidence(const std::string& dataCentre, const work_sample&);
     void score(endpoint_row&, service_row&, const work_sample&);
     bool hasWitnesses(const endpoint_row&, instant now) const;
+    bool isConfirmedBad(endpoint_row&, instant now) const;
     void moveTo(endpoint_row&, endpoint_state, bool heldByFloor, instant now, std::vector<health_transition>&) const;
-    void tickService(const std::string& name, const service_row&, std::vector<endpoint_row*>&, instant now, std::vector<health_transition>&) const;
+    bool isCorrelated(service_row&, const std::vector<endpoint_row*>&, instant now) const;
+    void tickService(service_row&, std::vector<endpoint_row*>&, instant now, std::vector<health_transition>&) const;
     void endHold(endpoint_row&, instant now, std::vector<health_transition>&) const;
     void growTrial(endpoint_row&, instant now, std::vector<health_transition>&) const;
 
--- a/Source/Core/gray_router.cxx
+++ b/Source/Core/gray_router.cxx
@@ -44,6 +44,12 @@
     return row && row->duty == upstream_duty::Serving && row->state != endpoint_state::Ejected;
 }
 
+bool gray_router::isOut(const std::string& upstream) const
+{
+    const endpoint_row* row = m_health.find(upstream);
+    return row && row->state == endpoint_state::Ejected;
+}
+
 double gray_router::roomAt(const std::string& upstream, const load_row& load) const
 {
     const endpoint_row* row = m_health.find(upstream);
@@ -53,7 +59,13 @@
     return std::max(0.0, limit - load.inFlight);
 }
 
-std::optional<std::string> gray_router::pick(const std::string& service, const std::set<std::string>& tried, instant, std::mt19937_64& random)
+std::optional<std::string> gray_router::pick(const std::string& service, const std::set<std::string>& tried, instant now, std::mt19937_64& random)
+{
+    auto chosen = pickAmong(service, tried, true, now, random);
+    return chosen ? chosen : pickAmong(service, tried, false, now, random);
+}
+
+std::optional<std::string> gray_router::pickAmong(const std::string& service, const std::set<std::string>& tried, bool avoidsBadPaths, instant now, std::mt19937_64& random)
 {
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
@@ -62,7 +74,8 @@
     std::array<std::vector<double>, tierCount> weights;
     for (const std::string& upstream : found->second) {
         const load_row& load = m_loads.at(upstream);
-        if (tried.count(upstream) || roomAt(upstream, load) <= 0)
+        const bool isAvoided = avoidsBadPaths && now < load.avoidUntil;
+        if (isAvoided || tried.count(upstream) || roomAt(upstream, load) <= 0)
             continue;
         const endpoint_row* row = m_health.find(upstream);
         tiers[load.tier].push_back(&upstream);
@@ -91,13 +104,26 @@
         --found->second.inFlight;
 }
 
-void gray_router::finish(const std::string& upstream, work_result result, instant)
+void gray_router::notePath(load_row& load, work_result result, instant now) const
+{
+    if (result != work_result::Unreachable) {
+        load.failedConnects = 0;
+        return;
+    }
+    if (++load.failedConnects < m_settings.connectsAllowed)
+        return;
+    const unsigned doublings = std::min(load.failedConnects - m_settings.connectsAllowed, 10U);
+    load.avoidUntil = now + std::min(m_settings.firstAvoidance * (1 << doublings), m_settings.longestAvoidance);
+}
+
+void gray_router::finish(const std::string& upstream, work_result result, instant now)
 {
     const auto found = m_loads.find(upstream);
     if (found == m_loads.end())
         return;
     load_row& load = found->second;
     unpick(upstream);
+    notePath(load, result, now);
     const endpoint_row* row = m_health.find(upstream);
     if (result == work_result::Shed)
         load.limit = std::max(m_settings.leastLimit, load.limit * m_settings.shedFactor);
--- a/Source/Core/gray_router.h
+++ b/Source/Core/gray_router.h
@@ -40,6 +40,11 @@
     // Part of its limit that remains to an upstream after shedding load.
     double shedFactor = 0.7;
     double leastLimit = 1;
+    // This host avoids an upstream that it cannot connect to for this long,
+    // twice as long with each further failure. No other host is concerned.
+    duration firstAvoidance = std::chrono::seconds(1);
+    duration longestAvoidance = std::chrono::seconds(60);
+    unsigned connectsAllowed = 2;
     // Switch for tests: choose among all tiers alike.
     bool nearFirst = true;
 };
@@ -78,14 +83,26 @@
 
     const endpoint_health& health() const { return m_health; }
 
+    // Returns the part of a service's slots whose upstreams get new work.
+    double usableCapacity(const std::string& service) const { return m_health.usableCapacity(service); }
+
+    // Returns whether an upstream is ejected.
+    bool isOut(const std::string& upstream) const;
+
 private:
     struct load_row {
         unsigned inFlight = 0;
         // Requests in flight that the upstream is believed to carry from here.
         double limit = 1;
         unsigned tier = 0;
+        // Connects that failed one after the other, from this host only.
+        unsigned failedConnects = 0;
+        instant avoidUntil = longAgo;
     };
 
+    void notePath(load_row&, work_result, instant now) const;
+    std::optional<std::string> pickAmong(const std::string& service, const std::set<std::string>& tried, bool avoidsBadPaths, instant now, std::mt19937_64& random);
+
     double roomAt(const std::string& upstream, const load_row&) const;
 
     router_settings m_settings;
--- a/Source/Core/text_table.cxx
+++ b/Source/Core/text_table.cxx
@@ -50,13 +50,13 @@
 absl::StatusOr<text_table> applyQuery(text_table table, const show_query& query)
 {
     if (!query.whereColumn.empty()) {
-        const auto column = findColumn(table, query.whereColumn);
+        auto column = findColumn(table, query.whereColumn);
         if (!column.ok())
             return column.status();
         std::erase_if(table.rows, [&](const auto& row) { return !matches(query.whereIs, compareValues(row[*column], query.whereValue)); });
     }
     if (!query.orderColumn.empty()) {
-        const auto column = findColumn(table, query.orderColumn);
+        auto column = findColumn(table, query.orderColumn);
         if (!column.ok())
             return column.status();
         // The greatest come first, since operators ask for what stands out.
--- a/Source/Platform/change_log.h
+++ b/Source/Platform/change_log.h
@@ -122,7 +122,7 @@
     call_result<no_value> writeSnapshot(const configuration& held)
     {
         const std::string name = snapshotName(held.version());
-        const auto put = m_platform.putObject(name, absl::StrJoin(held.snapshotCommands(), "\n"));
+        auto put = m_platform.putObject(name, absl::StrJoin(held.snapshotCommands(), "\n"));
         if (put.outcome != call_outcome::Done)
             return put;
         const auto rows = m_platform.readRows({ snapshotKey });
--- a/Source/byte_stream.cxx
+++ b/Source/byte_stream.cxx
@@ -15,7 +15,7 @@
 
 namespace {
 
-    constexpr std::size_t receiveSize = 64 * 1024;
+    constexpr std::size_t receiveSize = std::size_t { 64 } * 1024;
 
     int remainingMs(instant deadline)
     {
@@ -55,8 +55,8 @@
     return instant(std::chrono::duration_cast<duration>(span));
 }
 
-byte_stream::byte_stream(Poco::Net::StreamSocket socket)
-    : m_socket(std::move(socket))
+byte_stream::byte_stream(const Poco::Net::StreamSocket& socket)
+    : m_socket(socket)
 {
     m_socket.setBlocking(false);
     m_socket.setNoDelay(true);
--- a/Source/byte_stream.h
+++ b/Source/byte_stream.h
@@ -19,7 +19,7 @@
 class byte_stream {
 public:
     // Takes over a connected socket and makes it non-blocking.
-    explicit byte_stream(Poco::Net::StreamSocket);
+    explicit byte_stream(const Poco::Net::StreamSocket&);
 
     // Connects to IP-NUMBER:PORT.
     static absl::Status connect(const std::string& address, instant deadline, Poco::Net::StreamSocket& socket);
--- a/Source/control_loop.cxx
+++ b/Source/control_loop.cxx
@@ -315,7 +315,7 @@
         return { append_outcome::Conflict, 0, refusal };
     m_runtime.counters().add(event::StoreCommits);
     const instant askedAt = presentInstant();
-    const append_result result = m_log.append(it);
+    append_result result = m_log.append(it);
     if (result.outcome == append_outcome::Unknown)
         m_runtime.counters().add(event::StoreCommitsUnknown);
     if (result.outcome == append_outcome::Accepted) {
--- a/Source/guest_handler.cxx
+++ b/Source/guest_handler.cxx
@@ -13,7 +13,7 @@
 namespace {
 
     // Bodies up to this size are read before the dispatch and can be sent again.
-    constexpr std::size_t bufferedBodySize = 64 * 1024;
+    constexpr std::size_t bufferedBodySize = std::size_t { 64 } * 1024;
     // Answers of unknown length are gathered up to this size for HTTP/1.0 guests.
     constexpr std::size_t largestGatheredAnswer = 1 << 20;
     constexpr std::uint32_t longestDeadlineMs = 600'000;
--- a/Source/http_body.cxx
+++ b/Source/http_body.cxx
@@ -8,9 +8,9 @@
 
 namespace {
 
-    constexpr std::size_t largestPiece = 64 * 1024;
+    constexpr std::size_t largestPiece = std::size_t { 64 } * 1024;
     constexpr std::size_t longestChunkLine = 256;
-    constexpr std::size_t largestTrailers = 8 * 1024;
+    constexpr std::size_t largestTrailers = std::size_t { 8 } * 1024;
     constexpr std::size_t mostSizeDigits = 12;
 
     absl::Status bad(const std::string& detail)
--- a/Source/http_head.h
+++ b/Source/http_head.h
@@ -17,7 +17,7 @@
 
 namespace almondmoor {
 
-inline constexpr std::size_t largestHead = 16 * 1024;
+inline constexpr std::size_t largestHead = std::size_t { 16 } * 1024;
 
 // How the body of a message is delimited.
 enum class body_kind {
--- a/Source/http_listener.cxx
+++ b/Source/http_listener.cxx
@@ -86,7 +86,7 @@
         }
         m_events.accepted();
         ++m_open;
-        auto it = std::make_shared<connection>(std::move(socket));
+        auto it = std::make_shared<connection>(socket);
         it->waitingSince = presentInstant();
         park(it);
     }
--- a/Source/http_listener.h
+++ b/Source/http_listener.h
@@ -80,8 +80,8 @@
 
 private:
     struct connection {
-        explicit connection(Poco::Net::StreamSocket socket)
-            : stream(std::move(socket))
+        explicit connection(const Poco::Net::StreamSocket& socket)
+            : stream(socket)
         {
         }
         byte_stream stream;
--- a/Source/load_command.cxx
+++ b/Source/load_command.cxx
@@ -13,6 +13,7 @@
 #include <absl/strings/str_split.h>
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <condition_variable>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -81,6 +82,7 @@
         std::mt19937_64 random(FLAGS_load_seed);
         std::exponential_distribution<double> gap(FLAGS_load_rate);
         std::vector<double> weights;
+        weights.reserve(teams.size());
         for (const auto& it : teams)
             weights.push_back(it.weight);
         std::discrete_distribution<std::size_t> team(weights.begin(), weights.end());
@@ -117,7 +119,7 @@
                 Poco::Net::StreamSocket socket;
                 if (!byte_stream::connect(m_target, presentInstant() + connectTimeout, socket).ok())
                     return "connect-failed";
-                m_stream = std::make_unique<byte_stream>(std::move(socket));
+                m_stream = std::make_unique<byte_stream>(socket);
             }
             std::string text = absl::StrCat(FLAGS_load_method, " ", FLAGS_load_path, " HTTP/1.1\r\nHost: load\r\n");
             if (!team.secret.empty())
@@ -165,7 +167,7 @@
     {
         if (sorted.empty())
             return 0;
-        const auto index = static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1) + 0.5);
+        const auto index = static_cast<std::size_t>(std::lround(part * static_cast<double>(sorted.size() - 1)));
         return sorted[index];
     }
 
--- a/Source/operator_handler.cxx
+++ b/Source/operator_handler.cxx
@@ -14,7 +14,7 @@
 
 namespace {
 
-    constexpr std::size_t largestCommand = 16 * 1024;
+    constexpr std::size_t largestCommand = std::size_t { 16 } * 1024;
     constexpr duration replyTimeout = std::chrono::seconds(10);
     constexpr std::size_t hostsNamed = 5;
     constexpr std::size_t keyIdLength = 10;
@@ -142,7 +142,7 @@
     it.row.secretHash = hashSecret(secret);
     if (it.row.id.empty())
         it.row.id = absl::StrCat("k-", it.row.secretHash.substr(0, keyIdLength));
-    const std::string text = runChange(it, author, status);
+    std::string text = runChange(it, author, status);
     if (status != okStatus && status != acceptedStatus)
         return text;
     return absl::StrCat(text, "key ", it.row.id, " secret ", secret, "\nThe secret is shown this once only.\n");
--- a/Source/operator_tables.cxx
+++ b/Source/operator_tables.cxx
@@ -35,10 +35,11 @@
     text_table servicesTable(host_runtime& runtime, control_loop&)
     {
         text_table table { { "service", "floor", "usable", "median-ms", "queued" }, {} };
-        for (const auto& [name, row] : runtime.held()->services()) {
-            runtime.withTraffic([&, service = name](traffic_core& it) {
+        const auto held = runtime.held();
+        for (const auto& [name, row] : held->services()) {
+            runtime.withTraffic([&, service = name, floor = row.floor](traffic_core& it) {
                 const auto& health = it.router().health();
-                table.rows.push_back({ service, absl::StrCat(number(row.floor * 100), "%"), absl::StrFormat("%.0f%%", health.usableCapacity(service) * 100),
+                table.rows.push_back({ service, absl::StrCat(number(floor * 100), "%"), absl::StrFormat("%.0f%%", health.usableCapacity(service) * 100),
                     absl::StrFormat("%.1f", toSeconds(health.medianLatency(service)) * 1000), absl::StrCat(it.queued(service)) });
                 return 0;
             });
--- a/Source/settings.cxx
+++ b/Source/settings.cxx
@@ -160,7 +160,7 @@
 
 absl::Status readSettings(int* argumentCount, char*** arguments, serve_settings& settings)
 {
-    const auto status = parseFlags(argumentCount, arguments);
+    auto status = parseFlags(argumentCount, arguments);
     if (!status.ok())
         return status;
     settings.hostName = FLAGS_host_name;
@@ -193,7 +193,7 @@
 
 absl::Status readClientSettings(int* argumentCount, char*** arguments, client_settings& settings)
 {
-    const auto status = parseFlags(argumentCount, arguments);
+    auto status = parseFlags(argumentCount, arguments);
     if (!status.ok())
         return status;
     settings.operatorAddress = FLAGS_operator_address;
--- a/Source/upstream_pool.cxx
+++ b/Source/upstream_pool.cxx
@@ -33,7 +33,7 @@
     const auto status = byte_stream::connect(upstream, std::min(deadline, now + m_connectTimeout), socket);
     if (!status.ok())
         return status;
-    return std::make_unique<byte_stream>(std::move(socket));
+    return std::make_unique<byte_stream>(socket);
 }
 
 void upstream_pool::putBack(const std::string& upstream, std::unique_ptr<byte_stream> stream)
--- a/Tests/Serve/host_fixture.cxx
+++ b/Tests/Serve/host_fixture.cxx
@@ -29,7 +29,7 @@
 {
     Poco::Net::StreamSocket socket;
     REQUIRE(byte_stream::connect(address, presentInstant() + patience, socket).ok());
-    m_stream = std::make_unique<byte_stream>(std::move(socket));
+    m_stream = std::make_unique<byte_stream>(socket);
 }
 
 void raw_guest::send(const std::string& bytes)
--- a/Tests/StandIns/stand_in_upstream.cxx
+++ b/Tests/StandIns/stand_in_upstream.cxx
@@ -11,7 +11,7 @@
 namespace {
 
     constexpr duration patience = std::chrono::seconds(30);
-    constexpr std::size_t pieceSize = 64 * 1024;
+    constexpr std::size_t pieceSize = std::size_t { 64 } * 1024;
 
     // Bytes of an answer are a pattern, so that a test can tell a shifted copy.
     std::string patternPiece(std::uint64_t from, std::size_t size)
