Command: Read names before they are copied, and hide hashes from operators

Ruled out: a fault in the tables (the log held the nameless command already). Change: the name is read in a statement of its own; hashes are left out of what operators see; numbers in errors are written in full.

--- a/Source/Core/command.cxx
+++ b/Source/Core/command.cxx
@@ -4,6 +4,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <array>
@@ -85,7 +86,7 @@
         const bool hasUnit = absl::ConsumeSuffix(&digits, suffix);
         const bool good = hasUnit && absl::SimpleAtod(digits, &parsed) && parsed >= least && parsed <= greatest;
         if (!good)
-            return words.error(absl::StrCat("expected a number from ", least, std::string(unit), " to ", greatest, std::string(unit)));
+            return words.error(absl::StrFormat("expected a number from %.12g%s to %.12g%s", least, std::string(unit), greatest, std::string(unit)));
         value = parsed;
         words.take();
         return absl::OkStatus();
@@ -282,15 +283,18 @@
     {
         if (words.takeIf("team")) {
             remove_team result;
-            return finish(words, takeName(words, "team", result.name), result);
+            const absl::Status status = takeName(words, "team", result.name);
+            return finish(words, status, result);
         }
         if (words.takeIf("route")) {
             remove_route result;
-            return finish(words, takeName(words, "route", result.prefix), result);
+            const absl::Status status = takeName(words, "route", result.prefix);
+            return finish(words, status, result);
         }
         if (words.takeIf("host")) {
             remove_host result;
-            return finish(words, takeName(words, "host", result.name), result);
+            const absl::Status status = takeName(words, "host", result.name);
+            return finish(words, status, result);
         }
         return words.error("expected 'team', 'route' or 'host'");
     }
@@ -325,7 +329,8 @@
         if (!words.takeIf("host"))
             return parseUpstreamDuty(words, upstream_duty::Draining);
         drain_host result;
-        return finish(words, takeName(words, "host", result.name), result);
+        const absl::Status status = takeName(words, "host", result.name);
+        return finish(words, status, result);
     }
 
     absl::Status takeIncarnation(word_cursor& words, std::uint64_t& incarnation)
@@ -573,6 +578,11 @@
     return std::holds_alternative<show_query>(it) || std::holds_alternative<explain_query>(it) || std::holds_alternative<status_query>(it);
 }
 
+std::string withoutHash(const std::string& text)
+{
+    return text.substr(0, text.find(" hash "));
+}
+
 std::string subjectOf(const command& it)
 {
     return std::visit(subject_finder {}, it);
--- a/Source/Core/command.h
+++ b/Source/Core/command.h
@@ -126,6 +126,9 @@
 // Returns whether a command only asks.
 bool isQuery(const command&);
 
+// Returns a command's text as operators see it, without the hash of a secret.
+std::string withoutHash(const std::string& text);
+
 // Returns the thing a change is about, such as "team cooling".
 std::string subjectOf(const command&);
 
--- a/Source/Core/configuration.cxx
+++ b/Source/Core/configuration.cxx
@@ -232,7 +232,7 @@
     if (!status.ok())
         return status;
     m_version = it.version;
-    m_lastChange[subjectOf(*parsed)] = absl::StrCat("change ", it.id, " (version ", it.version, ") by ", it.author, ": ", it.command);
+    m_lastChange[subjectOf(*parsed)] = absl::StrCat("change ", it.id, " (version ", it.version, ") by ", it.author, ": ", withoutHash(it.command));
     return absl::OkStatus();
 }
 
--- a/Source/operator_tables.cxx
+++ b/Source/operator_tables.cxx
@@ -1,5 +1,7 @@
 #include "operator_tables.h"
 
+#include "Core/command.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <absl/strings/str_join.h>
@@ -112,7 +114,7 @@
         text_table table { { "version", "change", "author", "command" }, {} };
         control.withMember([&](fleet_member& member) {
             for (const change& it : member.history())
-                table.rows.push_back({ absl::StrCat(it.version), it.id, it.author, it.command });
+                table.rows.push_back({ absl::StrCat(it.version), it.id, it.author, withoutHash(it.command) });
             return 0;
         });
         return table;
