Health: Let a suspect upstream show what it is

The load that the two drawn upstreams were compared by was divided by the weight as well as the draw, so a suspect lost every comparison; its score then stayed for want of samples. A healthy upstream made suspect by noise would have been lost for good, unseen by the floor. Ruled out: a larger suspect weight (it loses any comparison still). Change: the weight counts in the draw only; evidence fades over 20 s.

--- a/Source/Core/endpoint_health.cxx
+++ b/Source/Core/endpoint_health.cxx
@@ -195,6 +195,18 @@
     }
 }
 
+void endpoint_health::fadeEvidence(instant now)
+{
+    if (m_fadedAt != longAgo && now > m_fadedAt) {
+        const double factor = std::exp(-toSeconds(now - m_fadedAt) / toSeconds(m_settings.evidenceMemory));
+        for (auto& [address, row] : m_rows) {
+            row.failScore *= factor;
+            row.slowScore *= factor;
+        }
+    }
+    m_fadedAt = now;
+}
+
 void endpoint_health::endHold(endpoint_row& row, instant now, std::vector<health_transition>& moved) const
 {
     if (row.state == endpoint_state::Ejected && now >= *row.holdUntil)
@@ -268,6 +280,7 @@
 std::vector<health_transition> endpoint_health::tick(instant now)
 {
     std::vector<health_transition> moved;
+    fadeEvidence(now);
     std::map<std::string, std::vector<endpoint_row*>> byService;
     for (auto& [address, row] : m_rows) {
         endHold(row, now, moved);
--- a/Source/Core/endpoint_health.h
+++ b/Source/Core/endpoint_health.h
@@ -111,6 +111,9 @@
     duration trialLength = std::chrono::seconds(10);
     double trialWeight = 0.1;
     double suspectWeight = 0.25;
+    // Time over which evidence fades, so that an upstream that gets little work
+    // does not stay suspect for want of good answers.
+    duration evidenceMemory = std::chrono::seconds(20);
     // Time over which a service's own rates are averaged.
     duration serviceWindow = std::chrono::seconds(10);
     // Switches of single mechanisms, for tests that show what each is for.
@@ -204,6 +207,7 @@
     void moveTo(endpoint_row&, endpoint_state, bool heldByFloor, instant now, std::vector<health_transition>&) const;
     bool isCorrelated(service_row&, const std::vector<endpoint_row*>&, instant now) const;
     void tickService(service_row&, std::vector<endpoint_row*>&, instant now, std::vector<health_transition>&) const;
+    void fadeEvidence(instant now);
     void endHold(endpoint_row&, instant now, std::vector<health_transition>&) const;
     void growTrial(endpoint_row&, instant now, std::vector<health_transition>&) const;
 
@@ -213,7 +217,8 @@
     std::map<std::string, service_row> m_services;
     // Upstreams felled by each request fingerprint of late.
     std::map<std::uint64_t, std::set<std::string>> m_crashes;
-    instant m_crashesSince;
+    instant m_crashesSince = longAgo;
+    instant m_fadedAt = longAgo;
 };
 
 } // namespace almondmoor
--- a/Source/Core/gray_router.cxx
+++ b/Source/Core/gray_router.cxx
@@ -88,7 +88,7 @@
     std::discrete_distribution<std::size_t> draw(tierWeights.begin(), tierWeights.end());
     const auto relativeLoad = [this](const std::string& upstream) {
         const load_row& load = m_loads.at(upstream);
-        return (load.inFlight + 1) / (load.limit * m_health.find(upstream)->weight);
+        return (load.inFlight + 1) / load.limit;
     };
     const std::string& first = *(*tier)[draw(random)];
     const std::string& second = *(*tier)[draw(random)];
--- a/Source/metrics.h
+++ b/Source/metrics.h
@@ -38,13 +38,12 @@
     StoreCommits,
     StoreCommitsUnknown,
     ChangesApplied,
-    StaleAttemptsIgnored,
     CrossRegionBytes,
     PeerFailures,
     StopsForced
 };
 
-inline constexpr name_table<event, 20> eventNames { {
+inline constexpr name_table<event, 19> eventNames { {
     { event::RequestsReceived, "requests_received" },
     { event::AnswersPassed, "answers_passed" },
     { event::AnswersAborted, "answers_aborted" },
@@ -61,7 +60,6 @@
     { event::StoreCommits, "store_commits" },
     { event::StoreCommitsUnknown, "store_commits_unknown" },
     { event::ChangesApplied, "changes_applied" },
-    { event::StaleAttemptsIgnored, "stale_attempts_ignored" },
     { event::CrossRegionBytes, "cross_region_bytes" },
     { event::PeerFailures, "peer_failures" },
     { event::StopsForced, "stops_forced" },
