--- a/Source/host_runtime.cxx
+++ b/Source/host_runtime.cxx
@@ -60,7 +60,8 @@
         const std::lock_guard lock(m_mutex);
         m_traffic.adopt(held, wasFresh, isMember, now);
     }
-    m_held.store(std::move(held));
+    const std::lock_guard lock(m_heldMutex);
+    m_held = std::move(held);
 }
 
 bool host_runtime::waitForToken(const std::string& team, instant deadline)
@@ -135,7 +136,7 @@
 
 bool host_runtime::isReady() const
 {
-    return !m_isStopping && m_isFresh && m_isMember && m_held.load()->shardHomes().size() == shardCount;
+    return !m_isStopping && m_isFresh && m_isMember && held()->shardHomes().size() == shardCount;
 }
 
 } // namespace almondmoor
--- a/Source/host_runtime.h
+++ b/Source/host_runtime.h
@@ -62,7 +62,11 @@
     const serve_settings& settings() const { return m_settings; }
 
     // Returns the configuration that traffic goes by.
-    std::shared_ptr<const configuration> held() const { return m_held.load(); }
+    std::shared_ptr<const configuration> held() const
+    {
+        const std::lock_guard lock(m_heldMutex);
+        return m_held;
+    }
     void publish(std::shared_ptr<const configuration>, bool wasFresh, bool isMember, instant now);
 
     // Runs a function on the traffic core under its mutex.
@@ -129,7 +133,10 @@
     metrics m_metrics;
     upstream_pool m_upstreams;
     request_history m_history;
-    std::atomic<std::shared_ptr<const configuration>> m_held;
+    // A mutex and not an atomic pointer: the library's atomic takes a lock too,
+    // one that the thread sanitizer cannot see.
+    mutable std::mutex m_heldMutex;
+    std::shared_ptr<const configuration> m_held;
     std::atomic<bool> m_isStopping { false };
     std::atomic<bool> m_isFresh { false };
     std::atomic<bool> m_isMember { false };
--- a/Source/serve_command.cxx
+++ b/Source/serve_command.cxx
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <iostream>
 #include <pthread.h>
+#include <sys/resource.h>
 
 namespace almondmoor {
 
@@ -38,6 +39,23 @@
             [&runtime](bool isTooLarge) { runtime.counters().addRefusal(isTooLarge ? refusal_reason::HeadTooLarge : refusal_reason::BadRequest, ""); } };
     }
 
+    // Raises the limit of open files to what the settings need, as far as the
+    // system allows, and says so when that is not enough.
+    void raiseFileLimit(const serve_settings& settings)
+    {
+        constexpr rlim_t filesBesideGuests = 1024;
+        // A guest's request may hold a connection to an upstream too.
+        const rlim_t needed = settings.guestConnections + settings.guestWorkers + filesBesideGuests;
+        rlimit limit {};
+        getrlimit(RLIMIT_NOFILE, &limit);
+        if (limit.rlim_cur >= needed)
+            return;
+        limit.rlim_cur = std::min(needed, limit.rlim_max);
+        setrlimit(RLIMIT_NOFILE, &limit);
+        if (limit.rlim_cur < needed)
+            logWarning(absl::StrCat("event=file-limit allowed=", limit.rlim_cur, " needed=", needed));
+    }
+
     // Finishes what runs, then takes the port away. A second signal ends the wait.
     void drainGuests(host_runtime& runtime, control_loop& control, http_listener& guests, const sigset_t& signals)
     {
@@ -75,6 +93,7 @@
         return usageStatus;
     }
     startLogging(settings.logLevel, settings.hostName);
+    raiseFileLimit(settings);
 
     // Signals are taken by this thread alone; all others inherit the mask.
     sigset_t signals;
--- a/Tests/Serve/wire_test.cxx
+++ b/Tests/Serve/wire_test.cxx
@@ -118,10 +118,15 @@
 {
     host_fixture host(3);
     std::atomic<unsigned> wrong { 0 };
+    constexpr unsigned guestCount = 8;
+    // Connected here, since assertions belong to the test's own thread.
+    std::vector<std::unique_ptr<raw_guest>> guests;
+    for (unsigned thread = 0; thread < guestCount; ++thread)
+        guests.push_back(std::make_unique<raw_guest>(host.guestAddress()));
     std::vector<std::thread> threads;
-    for (unsigned thread = 0; thread < 8; ++thread) {
+    for (unsigned thread = 0; thread < guestCount; ++thread) {
         threads.emplace_back([&, thread] {
-            raw_guest guest(host.guestAddress());
+            raw_guest& guest = *guests[thread];
             for (unsigned number = 0; number < 50; ++number) {
                 const std::string mark = absl::StrCat("g", thread, "-", number);
                 const std::string answer = guest.ask(host.text("GET", absl::StrCat("/refills?delay-ms=", number % 3), "", absl::StrCat("Guest-Number: ", mark, "\r\n")));
