--- a/Tests/Fleet/fake_fleet.cxx
+++ b/Tests/Fleet/fake_fleet.cxx
@@ -139,7 +139,7 @@
     }
 }
 
-void fake_fleet::handle(unsigned host, member_effects effects)
+void fake_fleet::handle(unsigned host, const member_effects& effects)
 {
     node& it = m_nodes[host];
     if (effects.advanced)
--- a/Tests/Fleet/fake_fleet.h
+++ b/Tests/Fleet/fake_fleet.h
@@ -135,7 +135,7 @@
     void tick(unsigned host);
     // Runs a function at a host after a delay, or when its pause ends.
     void deliver(unsigned host, duration delay, std::function<void()>);
-    void handle(unsigned host, member_effects);
+    void handle(unsigned host, const member_effects&);
     void send(unsigned from, const outgoing_message&);
     void pollStore(unsigned host);
     void propose(unsigned host);
--- a/Tests/Serve/wire_test.cxx
+++ b/Tests/Serve/wire_test.cxx
@@ -32,7 +32,7 @@
         { "chunk longer than its size", "POST /open HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n", 400 },
         { "space before the colon", "GET /open HTTP/1.1\r\nHost : a\r\n\r\n", 400 },
         { "folded header", "GET /open HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n\r\n", 400 },
-        { "NUL in a header", std::string("GET /open HTTP/1.1\r\nHost: a\r\nX: b\0c\r\n\r\n", 40), 400 },
+        { "NUL in a header", std::string("GET /open HTTP/1.1\r\nHost: a\r\nX: b\0c\r\n\r\n", 39), 400 },
         { "bare LF", "GET /open HTTP/1.1\r\nHost: a\nX: b\r\n\r\n", 400 },
         { "bare CR", "GET /open HTTP/1.1\r\nHost: a\rX: b\r\n\r\n", 400 },
         { "no host", "GET /open HTTP/1.1\r\n\r\n", 400 },
@@ -152,7 +152,7 @@
     }
     CHECK(statusOf(host.get("/refills")) == 200);
     // The figure includes the guests' own sockets in this process.
-    CHECK(residentKiB() - before < 64 * 1024);
+    CHECK(residentKiB() - before < std::size_t { 64 } * 1024);
 }
 
 TEST_CASE("a large answer streams in bounded memory", "[wire]")
@@ -178,7 +178,7 @@
     }
     CHECK(received == size);
     CHECK(isPattern);
-    CHECK(residentKiB() - before < 100 * 1024);
+    CHECK(residentKiB() - before < std::size_t { 100 } * 1024);
 }
 
 } // namespace almondmoor
