--- /dev/null
+++ b/Source/Core/neighbour_report.h
@@ -0,0 +1,45 @@
+// What hosts of one data centre tell each other after each step of a request.
+//
+// A report holds the sender's whole state where that is small, so that a lost
+// report is made good by the next.
+
+#pragma once
+
+#include "Core/endpoint_health.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace almondmoor {
+
+// One attempt that another host made.
+struct neighbour_sample {
+    std::string upstream;
+    work_result result = work_result::Good;
+    duration latency {};
+    // Fingerprint of the request, for crashes only.
+    std::uint64_t fingerprint = 0;
+};
+
+struct neighbour_report {
+    std::string host;
+    std::string dataCentre;
+    // IP-NUMBER:PORT at which the sender takes reports.
+    std::string address;
+    // Grows with each start of the sender.
+    std::uint64_t incarnation = 0;
+    // Grows with each report of one incarnation.
+    std::uint64_t sequence = 0;
+    // Requests in flight by upstream; upstreams that are not named have none.
+    std::map<std::string, unsigned> inFlight;
+    // Requests admitted since the sender's start, by team.
+    std::map<std::string, std::uint64_t> admitted;
+    // Attempts that ended since the last report.
+    std::vector<neighbour_sample> samples;
+    // Fingerprints of requests that no host should dispatch any more.
+    std::vector<std::uint64_t> quarantined;
+};
+
+} // namespace almondmoor
--- a/Source/Core/outcome.h
+++ b/Source/Core/outcome.h
@@ -48,10 +48,13 @@
     Quarantined,
     AnswerLost,
     AnswerTimeout,
-    BadAnswer
+    BadAnswer,
+    NoConfiguration,
+    NoRoom,
+    Stopping
 };
 
-inline constexpr std::size_t refusalReasonCount = 23;
+inline constexpr std::size_t refusalReasonCount = 26;
 
 // One row per reason: its name, and the HTTP status that goes with it.
 struct refusal_row {
@@ -84,6 +87,9 @@
     { refusal_reason::AnswerLost, "answer-lost", 502 },
     { refusal_reason::AnswerTimeout, "answer-timeout", 504 },
     { refusal_reason::BadAnswer, "bad-answer", 502 },
+    { refusal_reason::NoConfiguration, "no-configuration", 503 },
+    { refusal_reason::NoRoom, "no-room", 503 },
+    { refusal_reason::Stopping, "stopping", 503 },
 } };
 
 // Returns the row of a reason.
--- a/Source/Core/retry_budget.h
+++ b/Source/Core/retry_budget.h
@@ -26,6 +26,14 @@
     {
     }
 
+    // Changes the limits. Balances above the new limit are cut.
+    void setLimits(retry_budget_settings settings)
+    {
+        m_settings = settings;
+        for (auto& [name, balance] : m_balances)
+            balance = std::min(balance, settings.most);
+    }
+
     // Counts a first attempt.
     void noteFirstAttempt(const std::string& name)
     {
--- /dev/null
+++ b/Source/Core/upstream_choice.cxx
@@ -0,0 +1,226 @@
+#include "Core/upstream_choice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace almondmoor {
+
+namespace {
+
+    // Weight of one answer in the average latency of a service.
+    constexpr double serviceLatencyWeight = 0.02;
+
+    double averaged(double average, double sample, double weight)
+    {
+        return average == 0 ? sample : average + weight * (sample - average);
+    }
+
+} // namespace
+
+distance_tier upstream_choice::tierOf(const std::string& dataCentre) const
+{
+    if (dataCentre == m_dataCentre)
+        return distance_tier::SameDataCentre;
+    const auto own = m_regions.find(m_dataCentre);
+    const auto other = m_regions.find(dataCentre);
+    const bool isSameRegion = own != m_regions.end() && other != m_regions.end() && own->second == other->second;
+    return isSameRegion ? distance_tier::SameRegion : distance_tier::OtherRegion;
+}
+
+void upstream_choice::adopt(const upstream_directory& directory, instant)
+{
+    std::erase_if(m_rows, [&directory](const auto& it) { return !directory.count(it.first); });
+    m_byService.clear();
+    for (const auto& [id, entry] : directory) {
+        row& it = m_rows[id];
+        it.entry = entry;
+        it.tier = tierOf(entry.dataCentre);
+        m_byService[entry.service].push_back(id);
+    }
+    countPeers();
+}
+
+double upstream_choice::serviceLatency(const std::string& service) const
+{
+    const auto found = m_serviceLatency.find(service);
+    return found == m_serviceLatency.end() ? toSeconds(m_settings.firstLatency) : found->second;
+}
+
+double upstream_choice::waitAt(const row& it, double latency) const
+{
+    const double inFlight = it.ownInFlight + it.peersInFlight;
+    const double ahead = inFlight + 1 - it.entry.slots;
+    return ahead <= 0 ? 0 : ahead / it.entry.slots * latency;
+}
+
+double upstream_choice::costOf(const row& it, bool isRepeatable, double latency, instant now) const
+{
+    const double inFlight = it.ownInFlight + it.peersInFlight;
+    const bool isCold = now < it.entry.coldUntil;
+    const double work = latency * (isCold ? m_settings.coldFactor : 1) * (1 + m_settings.crowdingCost * inFlight / it.entry.slots);
+    const double prior = m_settings.priorSamples;
+    const double failureRate = (it.bad + m_settings.ordinaryFailureRate * prior) / (it.good + it.bad + prior);
+    const double failureCost = toSeconds(isRepeatable ? m_settings.repeatableFailureCost : m_settings.failureCost);
+    double cost = work + waitAt(it, latency) + failureRate * failureCost;
+    if (it.tier == distance_tier::SameRegion)
+        cost += toSeconds(m_settings.sameRegionCost);
+    else if (it.tier == distance_tier::OtherRegion)
+        cost += toSeconds(m_settings.otherRegionCost);
+    if (now - it.shedAt < m_settings.shedMemory)
+        cost += toSeconds(m_settings.shedCost);
+    return cost;
+}
+
+choice_result upstream_choice::choose(const choice_question& question, instant now, std::mt19937_64& random)
+{
+    forgetSilentPeers(now);
+    choice_result result;
+    const auto found = m_byService.find(question.service);
+    if (found == m_byService.end())
+        return result;
+    const double usual = serviceLatency(question.service);
+    std::uniform_real_distribution<double> jitter(0, m_settings.jitter * usual);
+    row* best = nullptr;
+    double bestCost = std::numeric_limits<double>::infinity();
+    double shortestWait = std::numeric_limits<double>::infinity();
+    for (const std::string& id : found->second) {
+        row& it = m_rows.at(id);
+        if (it.entry.isLeaving || (question.tried && question.tried->count(id)))
+            continue;
+        fade(it, now);
+        const double latency = it.latency > 0 ? it.latency : usual;
+        const double wait = waitAt(it, latency);
+        shortestWait = std::min(shortestWait, wait);
+        const bool isFull = it.ownInFlight + it.peersInFlight >= it.entry.slots * (1 + m_settings.longestQueuePerSlot);
+        if (isFull || wait >= toSeconds(question.timeLeft))
+            continue;
+        double cost = costOf(it, question.isRepeatable, latency, now) + jitter(random);
+        // An upstream beyond a broken path is the last resort.
+        if (now < it.avoidUntil)
+            cost += toSeconds(m_settings.failureCost);
+        if (cost < bestCost) {
+            best = &it;
+            bestCost = cost;
+        }
+    }
+    if (!best) {
+        const bool isAnyKnown = std::isfinite(shortestWait);
+        result.refusal = isAnyKnown ? choice_refusal::NoRoom : choice_refusal::NoUpstream;
+        result.roomIn = isAnyKnown ? fromSeconds(shortestWait) : duration::zero();
+        return result;
+    }
+    ++best->ownInFlight;
+    result.upstream = &best->entry;
+    return result;
+}
+
+void upstream_choice::fade(row& it, instant now) const
+{
+    if (it.evidenceAt != longAgo && now > it.evidenceAt) {
+        const double factor = std::exp(-toSeconds(now - it.evidenceAt) / toSeconds(m_settings.evidenceMemory));
+        it.good *= factor;
+        it.bad *= factor;
+    }
+    it.evidenceAt = now;
+}
+
+void upstream_choice::note(row& it, work_result result, duration latency, instant now) const
+{
+    fade(it, now);
+    switch (result) {
+    case work_result::Good:
+        it.good += 1;
+        it.latency = averaged(it.latency, toSeconds(latency), m_settings.latencyWeight);
+        break;
+    case work_result::Failed:
+    case work_result::Crashed:
+        it.bad += 1;
+        break;
+    case work_result::Shed:
+        it.shedAt = now;
+        break;
+    case work_result::Unreachable:
+        break;
+    }
+}
+
+void upstream_choice::finish(const std::string& id, work_result result, duration latency, instant now)
+{
+    const auto found = m_rows.find(id);
+    if (found == m_rows.end())
+        return;
+    row& it = found->second;
+    release(id);
+    note(it, result, latency, now);
+    if (result == work_result::Good) {
+        double& average = m_serviceLatency[it.entry.service];
+        average = averaged(average, toSeconds(latency), serviceLatencyWeight);
+    }
+    if (result != work_result::Unreachable) {
+        it.failedConnects = 0;
+        return;
+    }
+    const unsigned doublings = std::min(it.failedConnects++, 8U);
+    it.avoidUntil = now + std::min(m_settings.firstAvoidance * (1 << doublings), m_settings.longestAvoidance);
+}
+
+void upstream_choice::release(const std::string& id)
+{
+    const auto found = m_rows.find(id);
+    if (found != m_rows.end() && found->second.ownInFlight > 0)
+        --found->second.ownInFlight;
+}
+
+void upstream_choice::noteRemote(const std::string& id, work_result result, duration latency, instant now)
+{
+    const auto found = m_rows.find(id);
+    if (found != m_rows.end())
+        note(found->second, result, latency, now);
+}
+
+void upstream_choice::setInFlight(const std::string& host, const std::map<std::string, unsigned>& counts, instant now)
+{
+    peer_row& peer = m_peers[host];
+    peer.heardAt = now;
+    peer.counts = counts;
+    countPeers();
+}
+
+void upstream_choice::forgetSilentPeers(instant now)
+{
+    const auto erased = std::erase_if(m_peers, [&](const auto& it) { return now - it.second.heardAt > m_settings.sightLimit; });
+    if (erased > 0)
+        countPeers();
+}
+
+void upstream_choice::countPeers()
+{
+    for (auto& [id, it] : m_rows)
+        it.peersInFlight = 0;
+    for (const auto& [host, peer] : m_peers) {
+        for (const auto& [id, count] : peer.counts) {
+            const auto found = m_rows.find(id);
+            if (found != m_rows.end())
+                found->second.peersInFlight += count;
+        }
+    }
+}
+
+std::map<std::string, unsigned> upstream_choice::ownInFlight() const
+{
+    std::map<std::string, unsigned> counts;
+    for (const auto& [id, it] : m_rows) {
+        if (it.ownInFlight > 0)
+            counts[id] = it.ownInFlight;
+    }
+    return counts;
+}
+
+bool upstream_choice::takesNewWork(const std::string& id) const
+{
+    const auto found = m_rows.find(id);
+    return found != m_rows.end() && !found->second.entry.isLeaving;
+}
+
+} // namespace almondmoor
--- /dev/null
+++ b/Source/Core/upstream_choice.h
@@ -0,0 +1,192 @@
+// Choice of the upstream that is expected to serve a request best.
+//
+// Each candidate has an expected cost in seconds: the time that its queue and
+// its own speed are expected to take, the distance, and what a failure would
+// cost, weighted by how likely recent work makes it. The cheapest candidate is
+// taken. Hosts of one data centre tell each other what they have in flight and
+// what became of it, so that they do not meet at full upstreams and learn of a
+// failing one together. Evidence fades, so that an upstream is tried again;
+// idempotent requests, whose failure costs less, try it first.
+//
+// The class has no lock and no clock.
+
+#pragma once
+
+#include "Core/core_time.h"
+#include "Core/endpoint_health.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace almondmoor {
+
+// How far an upstream is from this host.
+enum class distance_tier {
+    SameDataCentre,
+    SameRegion,
+    OtherRegion
+};
+
+// An upstream as service discovery describes it.
+struct directory_entry {
+    // Names one start of the upstream's process.
+    std::string id;
+    std::string address;
+    std::string service;
+    std::string dataCentre;
+    unsigned slots = 1;
+    // Gets no new work.
+    bool isLeaving = false;
+    // Slow until this instant, after its start.
+    instant coldUntil = longAgo;
+};
+
+using upstream_directory = std::map<std::string, directory_entry>;
+
+// Regions by data centre.
+using region_map = std::map<std::string, std::string>;
+
+struct choice_settings {
+    // Latency that is expected of a service before any answer.
+    duration firstLatency = std::chrono::milliseconds(150);
+    // Costs of crossing to another data centre or region, beyond the path's time.
+    duration sameRegionCost = std::chrono::milliseconds(15);
+    duration otherRegionCost = std::chrono::milliseconds(70);
+    // Cost of a failure, for requests that may and may not be repeated.
+    duration repeatableFailureCost = std::chrono::milliseconds(500);
+    duration failureCost = std::chrono::milliseconds(2000);
+    // Cost of meeting an upstream that shed load a moment ago.
+    duration shedCost = std::chrono::milliseconds(300);
+    duration shedMemory = std::chrono::milliseconds(300);
+    // Ordinary failure rate, and how many samples' weight it has.
+    double ordinaryFailureRate = 0.015;
+    double priorSamples = 4;
+    // Time over which evidence fades.
+    duration evidenceMemory = std::chrono::seconds(6);
+    // Weight of a new latency in an upstream's average.
+    double latencyWeight = 0.2;
+    // Part of the latency that each busy slot adds, for upstreams that slow down
+    // when nearly full.
+    double crowdingCost = 0.25;
+    // Latency factor of an upstream that has just started.
+    double coldFactor = 2;
+    // Random part of the cost that keeps hosts from choosing alike.
+    double jitter = 0.1;
+    // This host avoids an upstream that it cannot reach for this long, twice as
+    // long with each further failure.
+    duration firstAvoidance = std::chrono::milliseconds(500);
+    duration longestAvoidance = std::chrono::seconds(4);
+    // What a host said of its work in flight is forgotten after this time.
+    duration sightLimit = std::chrono::milliseconds(1500);
+    // Requests that may be queued at an upstream for each of its slots.
+    double longestQueuePerSlot = 3;
+};
+
+// What a request needs of an upstream.
+struct choice_question {
+    std::string service;
+    bool isRepeatable = false;
+    const std::set<std::string>* tried = nullptr;
+    // Time left for the answer.
+    duration timeLeft {};
+};
+
+// Why no upstream was chosen.
+enum class choice_refusal {
+    // None is known, or all are leaving.
+    NoUpstream,
+    // All are expected to answer too late.
+    NoRoom
+};
+
+struct choice_result {
+    // Null if none was chosen. Valid until the directory changes.
+    const directory_entry* upstream = nullptr;
+    choice_refusal refusal = choice_refusal::NoUpstream;
+    // For refusals: when room is expected.
+    duration roomIn {};
+};
+
+class upstream_choice {
+public:
+    upstream_choice(choice_settings settings, std::string dataCentre, region_map regions)
+        : m_settings(settings)
+        , m_dataCentre(std::move(dataCentre))
+        , m_regions(std::move(regions))
+    {
+    }
+
+    // Follows the directory. What is known of entries that stay is kept.
+    void adopt(const upstream_directory&, instant now);
+
+    // Chooses an upstream and counts a request in flight there.
+    choice_result choose(const choice_question&, instant now, std::mt19937_64& random);
+
+    // Ends a request in flight, and takes in what became of it.
+    void finish(const std::string& id, work_result, duration latency, instant now);
+
+    // Ends a request in flight that says nothing about the upstream.
+    void release(const std::string& id);
+
+    // Takes in evidence of another host.
+    void noteRemote(const std::string& id, work_result, duration latency, instant now);
+
+    // Replaces what another host of the data centre has in flight.
+    void setInFlight(const std::string& host, const std::map<std::string, unsigned>& counts, instant now);
+
+    // Returns what this host has in flight, by upstream.
+    std::map<std::string, unsigned> ownInFlight() const;
+
+    // Returns whether a dispatch chosen earlier may still go to an upstream.
+    bool takesNewWork(const std::string& id) const;
+
+    std::size_t size() const { return m_rows.size(); }
+
+private:
+    struct row {
+        directory_entry entry;
+        distance_tier tier = distance_tier::SameDataCentre;
+        unsigned ownInFlight = 0;
+        unsigned peersInFlight = 0;
+        // Decaying counts of good and bad work.
+        double good = 0;
+        double bad = 0;
+        instant evidenceAt = longAgo;
+        // Average latency in seconds of work that did not queue; zero before any.
+        double latency = 0;
+        instant shedAt = longAgo;
+        unsigned failedConnects = 0;
+        instant avoidUntil = longAgo;
+    };
+
+    struct peer_row {
+        std::map<std::string, unsigned> counts;
+        instant heardAt = longAgo;
+    };
+
+    void note(row&, work_result, duration latency, instant now) const;
+    void fade(row&, instant now) const;
+    double serviceLatency(const std::string& service) const;
+    // Returns the seconds that a request would wait for a slot.
+    double waitAt(const row&, double latency) const;
+    double costOf(const row&, bool isRepeatable, double latency, instant now) const;
+    void forgetSilentPeers(instant now);
+    void countPeers();
+    distance_tier tierOf(const std::string& dataCentre) const;
+
+    choice_settings m_settings;
+    std::string m_dataCentre;
+    region_map m_regions;
+    std::map<std::string, row> m_rows;
+    std::map<std::string, std::vector<std::string>> m_byService;
+    // Average latency in seconds by service.
+    std::map<std::string, double> m_serviceLatency;
+    std::map<std::string, peer_row> m_peers;
+};
+
+} // namespace almondmoor
--- a/Source/byte_stream.cxx
+++ b/Source/byte_stream.cxx
@@ -96,6 +96,7 @@
     if (count > 0)
         m_buffer.append(chunk.data(), static_cast<std::size_t>(count));
     const bool wouldBlock = count < 0 && (errno == EAGAIN || errno == EINTR);
+    m_hasFailed = count < 0 && !wouldBlock;
     return m_buffer.size() > before || wouldBlock;
 }
 
@@ -104,7 +105,7 @@
     const std::size_t before = buffered().size();
     while (true) {
         if (!receiveAvailable())
-            return ended();
+            return m_hasFailed ? absl::DataLossError("the connection was reset") : ended();
         if (buffered().size() > before)
             return absl::OkStatus();
         if (!waitFor(m_socket.impl()->sockfd(), POLLIN, deadline))
@@ -160,6 +161,11 @@
     }
 }
 
+bool isDisconnected(const absl::Status& status)
+{
+    return absl::IsOutOfRange(status) || absl::IsDataLoss(status);
+}
+
 void byte_stream::abort()
 {
     try {
--- a/Source/byte_stream.h
+++ b/Source/byte_stream.h
@@ -29,7 +29,8 @@
     void consume(std::size_t count);
 
     // Receives at least one more byte into the buffer. The end of the stream is
-    // an error of code OutOfRange, a passed deadline one of DeadlineExceeded.
+    // an error of code OutOfRange, a reset or another failure of the connection
+    // one of DataLoss, a passed deadline one of DeadlineExceeded.
     absl::Status receive(instant deadline);
 
     // Receives what is there without waiting. Returns false if the stream ended.
@@ -59,6 +60,11 @@
     std::string m_buffer;
     // Invariant: at most the size of m_buffer.
     std::size_t m_consumed = 0;
+    bool m_hasFailed = false;
 };
 
+// Returns whether an error says that the other side is gone, by an orderly end
+// or not.
+bool isDisconnected(const absl::Status&);
+
 } // namespace almondmoor
--- a/Source/guest_handler.cxx
+++ b/Source/guest_handler.cxx
@@ -19,6 +19,11 @@
     constexpr std::uint32_t longestDeadlineMs = 600'000;
     constexpr std::size_t longestIdempotencyKey = 256;
     constexpr unsigned mostAttempts = 4;
+    // Guests and upstreams cannot set the headers of this host.
+    constexpr std::string_view ownHeaderPrefix = "almondmoor-";
+    // Shorter than the idle timeouts of upstreams, so that a connection that breaks
+    // in use broke because of what happened in it.
+    constexpr duration longestIdleConnection = std::chrono::seconds(1);
     // An attempt of a repeatable request is given up after this multiple of the
     // service's median, so that another upstream still has time.
     constexpr double attemptTimeoutFactor = 10;
@@ -29,18 +34,6 @@
         return status >= 500;
     }
 
-    void copyHeaders(const Poco::Net::HTTPMessage& from, Poco::Net::HTTPMessage& to, const std::set<std::string>& leftOut)
-    {
-        const auto listed = connectionListed(from);
-        for (const auto& [name, value] : from) {
-            const std::string lower = toLower(name);
-            const bool isOurs = lower.rfind("almondmoor-", 0) == 0;
-            const bool isListed = std::find(listed.begin(), listed.end(), lower) != listed.end();
-            if (!isHopByHop(lower) && !isOurs && !isListed && !leftOut.count(lower))
-                to.add(name, value);
-        }
-    }
-
 } // namespace
 
 guest_handler::guest_handler(host_runtime& runtime, http_exchange& exchange)
@@ -161,7 +154,7 @@
     while (!m_body.isAtEnd() && m_outgoing.bodyStart.size() < bufferedBodySize) {
         const auto piece = m_body.next(std::min(m_deadline, bodyDeadline()));
         if (!piece.ok()) {
-            const bool isGone = absl::IsOutOfRange(piece.status());
+            const bool isGone = isDisconnected(piece.status());
             if (isGone)
                 m_runtime.counters().add(event::GuestsGone);
             const bool isLate = absl::IsDeadlineExceeded(piece.status());
@@ -195,7 +188,7 @@
     head.setMethod(request.getMethod());
     head.setURI(request.getURI());
     head.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-    copyHeaders(request, head, { "authorization", "content-length", "expect" });
+    copyEndToEndHeaders(request, head, { "authorization", "content-length", "expect" }, ownHeaderPrefix);
     if (!head.has("Host"))
         head.set("Host", m_route->service);
     head.set(teamHeader, m_team);
@@ -204,7 +197,8 @@
         head.setChunkedTransferEncoding(true);
     else if (m_exchange.framing.kind == body_kind::Length || request.hasContentLength())
         head.setContentLength64(static_cast<Poco::Int64>(m_exchange.framing.length));
-    m_outgoing.mustBeNewConnection = !m_route->repeatable || m_outgoing.bodyRest;
+    const bool mayUseKept = m_route->repeatable && !m_outgoing.bodyRest;
+    m_outgoing.longestIdle = mayUseKept ? longestIdleConnection : duration::zero();
 }
 
 guest_handler::step guest_handler::claim()
@@ -422,7 +416,7 @@
     head.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
     head.setStatus(answer.getStatus());
     head.setReason(answer.getReason());
-    copyHeaders(answer, head, { "content-length" });
+    copyEndToEndHeaders(answer, head, { "content-length" }, ownHeaderPrefix);
     head.set(outcomeHeader, std::string(nameIn(outcomeNames, outcome::Ran)));
     head.set(requestHeader, m_id);
 
--- a/Source/http_head.cxx
+++ b/Source/http_head.cxx
@@ -141,6 +141,15 @@
     return end + 4;
 }
 
+bool hasBareLineFeed(std::string_view text)
+{
+    for (auto end = text.find('\n'); end != std::string_view::npos; end = text.find('\n', end + 1)) {
+        if (end == 0 || text[end - 1] != '\r')
+            return true;
+    }
+    return false;
+}
+
 absl::Status readRequestHead(std::string_view block, Poco::Net::HTTPRequest& request, body_framing& framing)
 {
     std::vector<std::string_view> lines;
@@ -207,6 +216,23 @@
     return absl::OkStatus();
 }
 
+std::size_t headerCount(const Poco::Net::HTTPMessage& message, const std::string& name)
+{
+    return valuesOf(message, name).size();
+}
+
+void copyEndToEndHeaders(const Poco::Net::HTTPMessage& from, Poco::Net::HTTPMessage& to, const std::set<std::string>& leftOut, std::string_view leftOutPrefix)
+{
+    const auto listed = connectionListed(from);
+    for (const auto& [name, value] : from) {
+        const std::string lower = toLower(name);
+        const bool hasPrefix = !leftOutPrefix.empty() && lower.rfind(leftOutPrefix, 0) == 0;
+        const bool isListed = std::find(listed.begin(), listed.end(), lower) != listed.end();
+        if (!isHopByHop(lower) && !hasPrefix && !isListed && !leftOut.count(lower))
+            to.add(name, value);
+    }
+}
+
 std::vector<std::string> connectionListed(const Poco::Net::HTTPMessage& message)
 {
     std::vector<std::string> names;
--- a/Source/http_head.h
+++ b/Source/http_head.h
@@ -11,6 +11,7 @@
 #include <absl/status/status.h>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,10 @@
 // included, or nothing if it is not complete yet.
 std::optional<std::size_t> headLength(std::string_view text);
 
+// Returns whether a text holds a line that ends without CR. Such a head never
+// becomes a proper one.
+bool hasBareLineFeed(std::string_view text);
+
 // Reads a request's head. Errors are of code InvalidArgument and say what is
 // wrong with which line.
 absl::Status readRequestHead(std::string_view block, Poco::Net::HTTPRequest&, body_framing&);
@@ -45,6 +50,14 @@
 // Reads a response's head; the request's method decides whether a body follows.
 absl::Status readResponseHead(std::string_view block, const std::string& method, Poco::Net::HTTPResponse&, body_framing&);
 
+// Returns how often a message holds a header.
+std::size_t headerCount(const Poco::Net::HTTPMessage&, const std::string& name);
+
+// Copies the headers of a message that concern more than its connection, except
+// the lower-case names that are left out and names with the given lower-case
+// prefix, if there is one.
+void copyEndToEndHeaders(const Poco::Net::HTTPMessage& from, Poco::Net::HTTPMessage& to, const std::set<std::string>& leftOut, std::string_view leftOutPrefix = {});
+
 // Returns the lower-case names that Connection headers list.
 std::vector<std::string> connectionListed(const Poco::Net::HTTPMessage&);
 
--- a/Source/http_listener.cxx
+++ b/Source/http_listener.cxx
@@ -12,7 +12,7 @@
 namespace {
 
     constexpr int backlog = 1024;
-    constexpr duration pollInterval = std::chrono::milliseconds(50);
+    constexpr duration pollInterval = std::chrono::milliseconds(100);
     constexpr duration refusalTimeout = std::chrono::milliseconds(200);
     constexpr duration expiryInterval = std::chrono::milliseconds(100);
 
@@ -22,6 +22,9 @@
     : m_settings(std::move(settings))
     , m_handler(std::move(handle))
     , m_events(std::move(events))
+    , m_largestHead(largestHead)
+    , m_headTimeout(m_settings.headTimeout)
+    , m_idleTimeout(m_settings.idleTimeout)
 {
 }
 
@@ -42,6 +45,13 @@
     m_poller = std::thread([this] { poll(); });
 }
 
+void http_listener::setLimits(std::size_t largestHeadBytes, duration headTimeout, duration idleTimeout)
+{
+    m_largestHead = largestHeadBytes;
+    m_headTimeout = headTimeout;
+    m_idleTimeout = idleTimeout;
+}
+
 void http_listener::poll()
 {
     while (!m_isStopping) {
@@ -63,6 +73,10 @@
                 onReadable(found);
         }
         closeExpired();
+        if (m_isClosing && !m_hasClosedIdle) {
+            m_hasClosedIdle = true;
+            dropIdle();
+        }
         closeIdle();
     }
     closeIdle();
@@ -125,8 +139,9 @@
 bool http_listener::dispatchIfComplete(const std::shared_ptr<connection>& it)
 {
     const auto length = headLength(it->stream.buffered());
-    const bool isTooLarge = length.value_or(it->stream.buffered().size()) > largestHead;
-    if (!length && !isTooLarge)
+    const bool isTooLarge = length.value_or(it->stream.buffered().size()) > m_largestHead;
+    const bool isBroken = !length && hasBareLineFeed(it->stream.buffered());
+    if (!length && !isTooLarge && !isBroken)
         return false;
     {
         const std::lock_guard lock(m_mutex);
@@ -134,9 +149,9 @@
             m_pollSet.remove(it->stream.socket());
     }
     ++m_running;
-    boost::asio::post(*m_workers, [this, it, isTooLarge, length] {
-        if (isTooLarge) {
-            refuseHead(*it, true, "the head is too large");
+    boost::asio::post(*m_workers, [this, it, isTooLarge, isBroken, length] {
+        if (isTooLarge || isBroken) {
+            refuseHead(*it, isTooLarge, isTooLarge ? "the head is too large" : "a line does not end in CR LF");
             --m_running;
             drop(it);
             return;
@@ -171,7 +186,7 @@
     --m_running;
     if (fate == connection_fate::Abort)
         it->stream.abort();
-    if (fate != connection_fate::Keep || !m_isAccepting) {
+    if (fate != connection_fate::Keep || !m_isAccepting || m_isClosing) {
         drop(it);
         return;
     }
@@ -191,7 +206,7 @@
     {
         const std::lock_guard lock(m_mutex);
         for (const auto& [socket, it] : m_parked) {
-            const duration limit = it->stream.buffered().empty() ? m_settings.idleTimeout : m_settings.headTimeout;
+            const duration limit = it->stream.buffered().empty() ? m_idleTimeout.load() : m_headTimeout.load();
             if (now - it->waitingSince > limit)
                 expired.push_back(it);
         }
@@ -200,6 +215,11 @@
         drop(it);
 }
 
+void http_listener::beginClosing()
+{
+    m_isClosing = true;
+}
+
 void http_listener::stopAccepting()
 {
     m_isAccepting = false;
@@ -212,6 +232,11 @@
     m_isListening = false;
     m_pollSet.remove(m_socket);
     m_socket.close();
+    dropIdle();
+}
+
+void http_listener::dropIdle()
+{
     std::vector<std::shared_ptr<connection>> idle;
     {
         const std::lock_guard lock(m_mutex);
--- a/Source/http_listener.h
+++ b/Source/http_listener.h
@@ -66,6 +66,13 @@
     // Begins to accept. Throws Poco::Exception if the address cannot be had.
     void start();
 
+    // Changes the limits for guests; connections that are open follow them too.
+    void setLimits(std::size_t largestHeadBytes, duration headTimeout, duration idleTimeout);
+
+    // Closes idle connections soon, and each other one after its exchange. New
+    // connections are still served, one exchange each.
+    void beginClosing();
+
     // Stops accepting and soon closes idle connections; running exchanges go on.
     void stopAccepting();
 
@@ -99,6 +106,8 @@
     void park(const std::shared_ptr<connection>&);
     void drop(const std::shared_ptr<connection>&);
     void closeExpired();
+    // Closes the connections on which nothing was received.
+    void dropIdle();
     // Closes the port and idle connections once accepting has ended.
     void closeIdle();
 
@@ -116,8 +125,13 @@
     std::atomic<bool> m_isStopping { false };
     std::unique_ptr<boost::asio::thread_pool> m_workers;
     std::thread m_poller;
+    std::atomic<std::size_t> m_largestHead;
+    std::atomic<duration> m_headTimeout;
+    std::atomic<duration> m_idleTimeout;
+    std::atomic<bool> m_isClosing { false };
     // Used by the poller only, after the start.
     bool m_isListening = false;
+    bool m_hasClosedIdle = false;
     instant m_expiredAt = longAgo;
 };
 
--- a/Source/key_guard.cxx
+++ b/Source/key_guard.cxx
@@ -49,13 +49,16 @@
     return absl::WebSafeBase64Escape(bytes);
 }
 
-std::string bearerSecret(const Poco::Net::HTTPRequest& request)
+std::string credentialSecret(const Poco::Net::HTTPRequest& request, std::string_view scheme)
 {
-    constexpr std::string_view scheme = "bearer ";
     const std::string value = request.get("Authorization", "");
-    if (toLower(value.substr(0, scheme.size())) != scheme)
-        return {};
-    return value.substr(scheme.size());
+    const bool hasScheme = value.size() > scheme.size() && value[scheme.size()] == ' ' && toLower(value.substr(0, scheme.size())) == toLower(scheme);
+    return hasScheme ? value.substr(scheme.size() + 1) : std::string();
+}
+
+std::string bearerSecret(const Poco::Net::HTTPRequest& request)
+{
+    return credentialSecret(request, "Bearer");
 }
 
 bool holdsSecret(const Poco::Net::HTTPRequest& request, const std::string& secret)
--- a/Source/key_guard.h
+++ b/Source/key_guard.h
@@ -17,6 +17,9 @@
 // Returns the secret of the request's bearer credential, or an empty string.
 std::string bearerSecret(const Poco::Net::HTTPRequest&);
 
+// Returns the secret of the request's credential of a scheme, or an empty string.
+std::string credentialSecret(const Poco::Net::HTTPRequest&, std::string_view scheme);
+
 // Returns whether a secret stands anywhere in the request's target or in a
 // header other than Authorization, plain or percent-encoded.
 bool holdsSecret(const Poco::Net::HTTPRequest&, const std::string& secret);
--- a/Source/logging.cxx
+++ b/Source/logging.cxx
@@ -1,5 +1,6 @@
 #include "logging.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
@@ -10,6 +11,8 @@
 
 namespace {
 
+    constexpr int mostQueuedLines = 1024;
+
     log4cxx::LoggerPtr logger()
     {
         return log4cxx::Logger::getLogger("almondmoor");
@@ -20,11 +23,20 @@
 void startLogging(const std::string& level, const std::string& host)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>("time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p host=" + host + " %m%n");
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
-    log4cxx::BasicConfigurator::configure(appender);
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(mostQueuedLines);
+    queue->setBlocking(false);
+    queue->addAppender(console);
+    log4cxx::BasicConfigurator::configure(queue);
     log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(level));
 }
 
+void stopLogging()
+{
+    log4cxx::Logger::getRootLogger()->removeAllAppenders();
+}
+
 void logInfo(const std::string& text)
 {
     LOG4CXX_INFO(logger(), text);
--- a/Source/main.cxx
+++ b/Source/main.cxx
@@ -1,5 +1,6 @@
 // The program 'almondmoor': one binary, with a role for each command.
 
+#include "adapter.h"
 #include "ctl_command.h"
 #include "load_command.h"
 #include "serve_command.h"
@@ -16,6 +17,7 @@
 int runHelp(int, char**)
 {
     std::cout << "almondmoor serve [SETTINGS]            run one entry host\n"
+                 "almondmoor proxy [SETTINGS]            run one entry host on the users' platform\n"
                  "almondmoor ctl [SETTINGS] [COMMAND]    send a command, or a session from standard input\n"
                  "almondmoor load [SETTINGS]             send requests at a fixed rate and report\n"
                  "almondmoor help                        show this text\n"
@@ -31,13 +33,19 @@
     return 0;
 }
 
+int runProxyOnPlatform(int argumentCount, char** arguments)
+{
+    return almondmoor::runProxy(argumentCount, arguments, almondmoor::users_platform::platformAdapter());
+}
+
 struct command_row {
     std::string_view name;
     int (*run)(int, char**);
 };
 
-constexpr std::array<command_row, 6> commands { {
+constexpr std::array<command_row, 7> commands { {
     { "serve", almondmoor::runServe },
+    { "proxy", runProxyOnPlatform },
     { "ctl", almondmoor::runCtl },
     { "load", almondmoor::runLoad },
     { "help", runHelp },
--- a/Source/metrics.h
+++ b/Source/metrics.h
@@ -40,10 +40,16 @@
     ChangesApplied,
     CrossRegionBytes,
     PeerFailures,
-    StopsForced
+    StopsForced,
+    PlansRefused,
+    UpstreamRowsRefused,
+    NeighbourReportsSent,
+    NeighbourReportsTaken,
+    NeighbourBytesSent,
+    LogLinesDropped
 };
 
-inline constexpr name_table<event, 19> eventNames { {
+inline constexpr name_table<event, 25> eventNames { {
     { event::RequestsReceived, "requests_received" },
     { event::AnswersPassed, "answers_passed" },
     { event::AnswersAborted, "answers_aborted" },
@@ -63,6 +69,12 @@
     { event::CrossRegionBytes, "cross_region_bytes" },
     { event::PeerFailures, "peer_failures" },
     { event::StopsForced, "stops_forced" },
+    { event::PlansRefused, "plans_refused" },
+    { event::UpstreamRowsRefused, "upstream_rows_refused" },
+    { event::NeighbourReportsSent, "neighbour_reports_sent" },
+    { event::NeighbourReportsTaken, "neighbour_reports_taken" },
+    { event::NeighbourBytesSent, "neighbour_bytes_sent" },
+    { event::LogLinesDropped, "log_lines_dropped" },
 } };
 
 struct team_counts {
--- /dev/null
+++ b/Source/proxy_runtime.cxx
@@ -0,0 +1,134 @@
+#include "proxy_runtime.h"
+
+#include "Core/error.h"
+#include "logging.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <random>
+
+namespace almondmoor {
+
+namespace {
+
+    std::uint64_t drawSeed(std::uint64_t configured)
+    {
+        return configured ? configured : std::random_device {}();
+    }
+
+    // Later starts of a host get greater numbers, by the wall clock.
+    std::uint64_t drawIncarnation()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    }
+
+} // namespace
+
+proxy_runtime::proxy_runtime(const proxy_settings& settings, wire_names wire)
+    : m_settings(settings)
+    , m_wire(std::move(wire))
+    , m_seed(drawSeed(settings.seed))
+    , m_incarnation(drawIncarnation())
+    , m_upstreams(settings.connectTimeout, settings.usualIdleLimit)
+    , m_book(book_settings {})
+    , m_core(settings.dispatch, settings.hostName, settings.dataCentre, settings.regions, m_seed)
+{
+}
+
+std::shared_ptr<const serving_plan> proxy_runtime::plan() const
+{
+    const std::lock_guard lock(m_planMutex);
+    return m_plan;
+}
+
+void proxy_runtime::adoptPlan(serving_plan next)
+{
+    const auto adopted = std::make_shared<const serving_plan>(std::move(next));
+    {
+        const std::lock_guard lock(m_planMutex);
+        if (m_plan && m_plan->version >= adopted->version)
+            return;
+        m_plan = adopted;
+    }
+    withCore([&](dispatch_core& it) { it.adoptPlan(*adopted, presentInstant()); });
+    m_metrics.add(event::ChangesApplied);
+    if (m_onLimits)
+        m_onLimits(adopted->limits);
+    logInfo(absl::StrCat("event=plan version=", adopted->version, " hosts=", adopted->routesByHost.size(), " teams=", adopted->teams.size()));
+}
+
+void proxy_runtime::applyUpstreams(const table_update& update, const statement_decoder& decode)
+{
+    const instant now = presentInstant();
+    const std::lock_guard lock(m_feedMutex);
+    if (update.wasAway)
+        m_book.noteStoreBack(now);
+    std::vector<std::string> present;
+    for (const stored_row& row : update.rows) {
+        if (row.isRemoved) {
+            m_book.remove(row.key, now);
+            logInfo(absl::StrCat("event=upstream-removed upstream=", row.key, " version=", row.version));
+            continue;
+        }
+        present.push_back(row.key);
+        const auto statement = decode(row, now);
+        if (!statement.ok()) {
+            m_metrics.add(event::UpstreamRowsRefused);
+            logWarning(absl::StrCat("event=upstream-row-refused upstream=", row.key, " version=", row.version, " error=\"", errorMessage(statement.status()), "\""));
+            m_book.remove(row.key, now);
+            continue;
+        }
+        const directory_entry& entry = statement->entry;
+        if (m_book.state(*statement))
+            logInfo(absl::StrCat("event=upstream upstream=", row.key, " version=", row.version, " service=", entry.service, " address=", entry.address, " zone=", entry.dataCentre, " leaving=", entry.isLeaving ? "yes" : "no"));
+    }
+    if (update.isWhole)
+        m_book.keepOnly(present, now);
+    publishDirectory(now);
+}
+
+void proxy_runtime::publishDirectory(instant now)
+{
+    withCore([&](dispatch_core& it) { it.adoptDirectory(m_book.directory(), now); });
+    m_hasDirectory = true;
+}
+
+void proxy_runtime::adoptRoster(const host_roster& roster)
+{
+    const auto isNear = [this](const auto& it) { return it.second.dataCentre == m_settings.dataCentre; };
+    const auto near = std::count_if(roster.begin(), roster.end(), isNear);
+    withCore([&](dispatch_core& it) { it.setFleetSize(static_cast<unsigned>(near), static_cast<unsigned>(roster.size())); });
+    logInfo(absl::StrCat("event=roster hosts=", roster.size(), " neighbours=", near));
+}
+
+void proxy_runtime::tick()
+{
+    const instant now = presentInstant();
+    {
+        const std::lock_guard lock(m_feedMutex);
+        if (m_book.expire(now))
+            publishDirectory(now);
+    }
+    withCore([&](dispatch_core& it) { it.tick(now); });
+    m_upstreams.closeIdle();
+}
+
+void proxy_runtime::announce() const
+{
+    if (m_announcer)
+        m_announcer();
+}
+
+bool proxy_runtime::isReady() const
+{
+    return m_phase == stop_phase::Running && m_hasDirectory && plan();
+}
+
+void proxy_runtime::setPhase(stop_phase phase)
+{
+    m_phase = phase;
+    logInfo(absl::StrCat("event=stop phase=", std::string(nameIn(stopPhaseNames, phase))));
+}
+
+} // namespace almondmoor
--- a/Source/settings.cxx
+++ b/Source/settings.cxx
@@ -1,10 +1,12 @@
 #include "settings.h"
 
 #include "Core/error.h"
+#include "proxy_settings.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <algorithm>
 #include <cstdlib>
 #include <gflags/gflags.h>
@@ -30,6 +32,14 @@
 DEFINE_uint32(freshness_limit_ms, 3500, "Age of the configuration's evidence from which keyed routes are refused.");
 DEFINE_uint32(stop_notice_ms, 2000, "Time between showing 'not ready' and closing the guest port on a planned stop.");
 DEFINE_uint32(stop_limit_ms, 60000, "Longest time that a planned stop waits for running requests.");
+DEFINE_string(regions, "", "Regions by data centre, as DATA-CENTRE=REGION,...; command 'proxy' only, as all below.");
+DEFINE_string(readiness_address, "127.0.0.1:8083", "Where the platform asks whether this host is ready.");
+DEFINE_string(metrics_address, "", "Where counters are served; empty for nowhere but the readiness address.");
+DEFINE_string(store, "", "The platform's table store, IP-NUMBER:PORT.");
+DEFINE_double(stop_grace_s, 6, "Time from a stop signal to the end of the process.");
+DEFINE_double(fleet_retry_ratio, 0.1, "Retries per first attempt that the whole fleet may make.");
+DEFINE_double(fleet_retry_slack, 10, "Retries beyond the ratio that the whole fleet may make in a window.");
+DEFINE_double(quota_slack, 0, "Requests beyond rate and burst that operators tolerate in a window, for the whole fleet.");
 DEFINE_string(log_level, "info", "Lines that are logged: error, warn, info or debug.");
 DEFINE_uint64(seed, 0, "Seed of random choices; 0 draws one.");
 
@@ -152,6 +162,14 @@
         { "freshness_limit_ms", "ms", 500, 4000 },
         { "stop_notice_ms", "ms", 0, 600000 },
         { "stop_limit_ms", "ms", 100, 3600000 },
+        { "regions", "", 0, 0 },
+        { "readiness_address", "", 0, 0 },
+        { "metrics_address", "", 0, 0 },
+        { "store", "", 0, 0 },
+        { "stop_grace_s", "s", 1, 3600 },
+        { "fleet_retry_ratio", "", 0, 1 },
+        { "fleet_retry_slack", "requests", 0, 1000000 },
+        { "quota_slack", "requests", 0, 1000000 },
         { "log_level", "", 0, 0 },
         { "seed", "", 0, 1.8446744073709552e19 },
     };
@@ -191,6 +209,57 @@
     return absl::OkStatus();
 }
 
+absl::Status parseRegions(const std::string& text, region_map& regions)
+{
+    for (const absl::string_view pair : absl::StrSplit(text, ',', absl::SkipEmpty())) {
+        const std::vector<std::string> parts = absl::StrSplit(pair, '=');
+        if (parts.size() != 2 || parts[0].empty() || parts[1].empty())
+            return badSetting("regions", std::string(pair), "expected DATA-CENTRE=REGION");
+        regions[parts[0]] = parts[1];
+    }
+    return absl::OkStatus();
+}
+
+absl::Status readProxySettings(int* argumentCount, char*** arguments, proxy_settings& settings)
+{
+    auto status = parseFlags(argumentCount, arguments);
+    if (status.ok())
+        status = parseRegions(FLAGS_regions, settings.regions);
+    if (!status.ok())
+        return status;
+    for (const auto& [flag, value] : { std::pair("store", FLAGS_store), std::pair("readiness_address", FLAGS_readiness_address) }) {
+        if (!isAddress(value))
+            return badSetting(flag, value, "expected IP-NUMBER:PORT");
+    }
+    if (!FLAGS_metrics_address.empty() && !isAddress(FLAGS_metrics_address))
+        return badSetting("metrics_address", FLAGS_metrics_address, "expected IP-NUMBER:PORT or nothing");
+    settings.hostName = FLAGS_host_name;
+    settings.dataCentre = FLAGS_data_centre;
+    settings.regions.try_emplace(settings.dataCentre, settings.dataCentre);
+    settings.guestAddress = FLAGS_guest_address;
+    settings.readinessAddress = FLAGS_readiness_address;
+    settings.metricsAddress = FLAGS_metrics_address;
+    settings.peerAddress = FLAGS_peer_address;
+    settings.storeAddress = FLAGS_store;
+    settings.guestWorkers = FLAGS_guest_workers;
+    settings.guestConnections = FLAGS_guest_connections;
+    settings.headTimeout = milliseconds(FLAGS_head_timeout_ms);
+    settings.bodyTimeout = milliseconds(FLAGS_body_timeout_ms);
+    settings.idleTimeout = milliseconds(FLAGS_idle_timeout_ms);
+    settings.requestTimeout = milliseconds(FLAGS_request_timeout_ms);
+    settings.connectTimeout = milliseconds(FLAGS_connect_timeout_ms);
+    settings.platformTimeout = milliseconds(FLAGS_platform_timeout_ms);
+    settings.stopNotice = milliseconds(FLAGS_stop_notice_ms);
+    settings.stopGrace = fromSeconds(FLAGS_stop_grace_s);
+    settings.logLevel = FLAGS_log_level;
+    settings.seed = FLAGS_seed;
+    settings.dispatch.retryRatio = FLAGS_fleet_retry_ratio;
+    settings.dispatch.retrySlack = FLAGS_fleet_retry_slack;
+    settings.dispatch.quota.slack = FLAGS_quota_slack;
+    settings.dispatch.quota.dataCentres = static_cast<unsigned>(settings.regions.size());
+    return absl::OkStatus();
+}
+
 absl::Status readClientSettings(int* argumentCount, char*** arguments, client_settings& settings)
 {
     auto status = parseFlags(argumentCount, arguments);
--- a/Source/upstream_exchange.cxx
+++ b/Source/upstream_exchange.cxx
@@ -1,13 +1,32 @@
 #include "upstream_exchange.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <optional>
 
 namespace almondmoor {
 
 namespace {
 
-    constexpr int serviceUnavailable = 503;
+    constexpr int leastErrorStatus = 400;
     constexpr unsigned mostInterimAnswers = 16;
+    constexpr unsigned mostSkippedAnswers = 2;
+
+    // Returns for how long the upstream keeps an idle connection, as far as it
+    // says so.
+    std::optional<duration> idleLimit(const Poco::Net::HTTPResponse& response)
+    {
+        constexpr std::string_view parameter = "timeout=";
+        const std::string value = toLower(response.get("Keep-Alive", ""));
+        const auto start = value.find(parameter);
+        if (start == std::string::npos)
+            return std::nullopt;
+        const std::string rest = value.substr(start + parameter.size());
+        std::uint32_t seconds = 0;
+        if (!absl::SimpleAtoi(rest.substr(0, rest.find_first_not_of("0123456789")), &seconds))
+            return std::nullopt;
+        return std::chrono::seconds(seconds);
+    }
 
 } // namespace
 
@@ -25,12 +44,13 @@
 
 exchange_end upstream_exchange::run(const outgoing_request& request, byte_stream& guest, instant deadline, duration bodyTimeout)
 {
-    auto acquired = m_pool.acquire(m_upstream, request.mustBeNewConnection, deadline);
+    auto acquired = m_pool.acquire(m_upstream, request.longestIdle, deadline);
     if (!acquired.ok()) {
         m_detail = std::string(acquired.status().message());
         return exchange_end::ConnectFailed;
     }
-    m_stream = *std::move(acquired);
+    m_stream = std::move(acquired->stream);
+    m_isKept = acquired->isKept;
     if (!m_beforeSend())
         return exchange_end::NotStarted;
     const exchange_end sent = send(request, deadline, bodyTimeout);
@@ -72,7 +92,7 @@
         const auto piece = request.bodyRest->next(presentInstant() + bodyTimeout);
         if (!piece.ok()) {
             m_detail = std::string(piece.status().message());
-            return absl::IsOutOfRange(piece.status()) ? exchange_end::GuestGone : exchange_end::GuestBodyFailed;
+            return isDisconnected(piece.status()) ? exchange_end::GuestGone : exchange_end::GuestBodyFailed;
         }
         if (request.scanner->sees(*piece)) {
             m_detail = "the body holds the guest's key";
@@ -93,7 +113,7 @@
     }
 }
 
-exchange_end upstream_exchange::receiveHead(const std::string& method, byte_stream& guest, instant deadline)
+exchange_end upstream_exchange::receiveOneHead(const std::string& method, byte_stream& guest, instant deadline)
 {
     for (unsigned interim = 0; interim <= mostInterimAnswers;) {
         const auto length = headLength(m_stream->buffered());
@@ -118,10 +138,43 @@
         if (m_response.getStatus() == 101 || ++interim > mostInterimAnswers)
             return endOf(absl::InvalidArgumentError("the answer switches protocols or never begins"));
     }
-    m_latency = presentInstant() - m_sentAt;
+    return exchange_end::Answered;
+}
+
+bool upstream_exchange::isForAnotherRequest() const
+{
+    if (m_rules.idHeader.empty() || !m_response.has(m_rules.idHeader))
+        return false;
+    return m_response.get(m_rules.idHeader) != m_rules.id;
+}
+
+bool upstream_exchange::skipBody(instant deadline)
+{
     if (m_framing.kind == body_kind::UntilClose)
+        return false;
+    body_reader body(*m_stream, m_framing);
+    while (!body.isAtEnd()) {
+        if (!body.next(deadline).ok())
+            return false;
+    }
+    return true;
+}
+
+exchange_end upstream_exchange::receiveHead(const std::string& method, byte_stream& guest, instant deadline)
+{
+    for (unsigned skipped = 0; skipped <= mostSkippedAnswers; ++skipped) {
+        const exchange_end end = receiveOneHead(method, guest, deadline);
+        if (end != exchange_end::Answered)
+            return end;
+        if (!isForAnotherRequest())
+            break;
+        if (skipped == mostSkippedAnswers || !skipBody(deadline))
+            return endOf(absl::InvalidArgumentError("the answers belong to other requests"));
+    }
+    m_latency = presentInstant() - m_sentAt;
+    if (m_framing.kind == body_kind::UntilClose && !m_rules.mayEndWithConnection)
         return endOf(absl::InvalidArgumentError("the answer's end cannot be told from a lost connection"));
-    if (m_response.getStatus() == serviceUnavailable && m_response.has(notStartedHeader))
+    if (m_response.getStatus() >= leastErrorStatus && m_response.has(m_rules.notStarted))
         return exchange_end::NotStarted;
     return exchange_end::Answered;
 }
@@ -131,11 +184,11 @@
     if (!m_stream)
         return;
     const bool wantsClose = toLower(m_response.get("Connection", "")) == "close" || m_response.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
-    if (wantsClose || !m_isBodySent || !m_stream->buffered().empty()) {
+    if (wantsClose || !m_isBodySent || m_framing.kind == body_kind::UntilClose || !m_stream->buffered().empty()) {
         cancel();
         return;
     }
-    m_pool.putBack(m_upstream, std::move(m_stream));
+    m_pool.putBack(m_upstream, std::move(m_stream), idleLimit(m_response));
 }
 
 void upstream_exchange::cancel()
--- a/Source/upstream_exchange.h
+++ b/Source/upstream_exchange.h
@@ -50,20 +50,34 @@
     // Reads the rest of the body from the guest; null if there is none.
     body_reader* bodyRest = nullptr;
     secret_scanner* scanner = nullptr;
-    bool mustBeNewConnection = false;
+    // Longest time for which a connection may have been idle before it is used;
+    // zero asks for a new one.
+    duration longestIdle {};
 };
 
-// The header with which an upstream says, next to status 503, that it has not
-// begun to run a request.
+// The header with which an upstream says that it has not begun to run a request.
 inline constexpr const char* notStartedHeader = "Request-Not-Started";
 
+// How answers of upstreams are read.
+struct answer_rules {
+    // Header of answers to requests that the upstream has not begun to run.
+    std::string notStarted = notStartedHeader;
+    // Header in which answers repeat the id of their request, or empty. An answer
+    // with another id belongs to an earlier request and is dropped.
+    std::string idHeader;
+    std::string id;
+    // Whether an answer may end with its connection.
+    bool mayEndWithConnection = false;
+};
+
 class upstream_exchange {
 public:
     // The function is called right before the first byte is sent; if it returns
     // false nothing is sent and the exchange ends as NotStarted.
-    upstream_exchange(upstream_pool& pool, std::string upstream, std::function<bool()> beforeSend)
+    upstream_exchange(upstream_pool& pool, std::string upstream, std::function<bool()> beforeSend, answer_rules rules = {})
         : m_pool(pool)
         , m_upstream(std::move(upstream))
+        , m_rules(std::move(rules))
         , m_beforeSend(std::move(beforeSend))
     {
     }
@@ -76,6 +90,9 @@
     body_framing framing() const { return m_framing; }
     byte_stream& stream() { return *m_stream; }
 
+    // Returns whether the connection had carried other exchanges before.
+    bool isOnKeptConnection() const { return m_isKept; }
+
     // Time from the first byte sent to the answer's head.
     duration latency() const { return m_latency; }
     const std::string& detail() const { return m_detail; }
@@ -91,10 +108,15 @@
     exchange_end send(const outgoing_request&, instant deadline, duration bodyTimeout);
     exchange_end sendRest(const outgoing_request&, instant deadline, duration bodyTimeout);
     exchange_end receiveHead(const std::string& method, byte_stream& guest, instant deadline);
+    // Reads one head that is no interim one.
+    exchange_end receiveOneHead(const std::string& method, byte_stream& guest, instant deadline);
+    bool isForAnotherRequest() const;
+    bool skipBody(instant deadline);
     exchange_end endOf(const absl::Status&);
 
     upstream_pool& m_pool;
     std::string m_upstream;
+    answer_rules m_rules;
     std::function<bool()> m_beforeSend;
     std::unique_ptr<byte_stream> m_stream;
     Poco::Net::HTTPResponse m_response;
@@ -103,6 +125,7 @@
     instant m_sentAt;
     std::string m_detail;
     bool m_isBodySent = false;
+    bool m_isKept = false;
 };
 
 } // namespace almondmoor
--- a/Source/upstream_pool.cxx
+++ b/Source/upstream_pool.cxx
@@ -6,52 +6,57 @@
 
 namespace {
 
-    // Shorter than the idle timeouts of upstreams, so that a connection that breaks
-    // in use broke because of what happened in it.
-    constexpr duration longestIdle = std::chrono::seconds(1);
+    // Part of an upstream's own idle limit after which a connection is not used
+    // any more, since its closing may be on the way.
+    constexpr double usedIdlePart = 0.7;
     constexpr std::size_t mostKeptPerUpstream = 16;
 
 } // namespace
 
-absl::StatusOr<std::unique_ptr<byte_stream>> upstream_pool::acquire(const std::string& upstream, bool mustBeNew, instant deadline)
+bool upstream_pool::isUsable(const kept_connection& kept, duration longestIdle, instant now)
+{
+    return now - kept.since <= std::min(kept.idleLimit, longestIdle);
+}
+
+absl::StatusOr<upstream_pool::acquired_connection> upstream_pool::acquire(const std::string& upstream, duration longestIdle, instant deadline)
 {
     const instant now = presentInstant();
-    while (!mustBeNew) {
+    while (longestIdle > duration::zero()) {
         std::unique_ptr<byte_stream> candidate;
         {
             const std::lock_guard lock(m_mutex);
             auto& kept = m_kept[upstream];
-            if (kept.empty() || now - kept.back().since > longestIdle)
+            if (kept.empty() || !isUsable(kept.back(), longestIdle, now))
                 break;
             candidate = std::move(kept.back().stream);
             kept.pop_back();
         }
         if (candidate->isIdleAndOpen())
-            return candidate;
+            return acquired_connection { std::move(candidate), true };
     }
     Poco::Net::StreamSocket socket;
+    ++m_connects;
     const auto status = byte_stream::connect(upstream, std::min(deadline, now + m_connectTimeout), socket);
     if (!status.ok())
         return status;
-    return std::make_unique<byte_stream>(socket);
+    return acquired_connection { std::make_unique<byte_stream>(socket), false };
 }
 
-void upstream_pool::putBack(const std::string& upstream, std::unique_ptr<byte_stream> stream)
+void upstream_pool::putBack(const std::string& upstream, std::unique_ptr<byte_stream> stream, std::optional<duration> idleLimit)
 {
+    const duration limit = idleLimit ? fromSeconds(toSeconds(*idleLimit) * usedIdlePart) : m_usualIdleLimit;
     const std::lock_guard lock(m_mutex);
     auto& kept = m_kept[upstream];
     if (kept.size() < mostKeptPerUpstream)
-        kept.push_back(kept_connection { std::move(stream), presentInstant() });
+        kept.push_back(kept_connection { std::move(stream), presentInstant(), limit });
 }
 
 void upstream_pool::closeIdle()
 {
     const instant now = presentInstant();
     const std::lock_guard lock(m_mutex);
-    for (auto& [upstream, kept] : m_kept) {
-        while (!kept.empty() && now - kept.front().since > longestIdle)
-            kept.pop_front();
-    }
+    for (auto& [upstream, kept] : m_kept)
+        std::erase_if(kept, [now](const kept_connection& it) { return now - it.since > it.idleLimit; });
     std::erase_if(m_kept, [](const auto& entry) { return entry.second.empty(); });
 }
 
