Choice: Believe in failing upstreams by Bayes and tell other data centres

Change: the probability that an upstream is failing follows a two-state model; a failure is told to one host of each other data centre, which tells its neighbours; idempotent requests explore unused upstreams while they can still be repeated; the distance costs what links cost.

--- a/Source/Core/dispatch_core.cxx
+++ b/Source/Core/dispatch_core.cxx
@@ -68,12 +68,16 @@
 
 void dispatch_core::finishAttempt(const attempt_report& report, instant now)
 {
-    m_choice.finish(report.upstream, report.result, report.latency, now);
+    const bool beganToFail = m_choice.finish(report.upstream, report.result, report.latency, now);
     if (report.result == work_result::Crashed)
         noteCrash(report.fingerprint, report.upstream, now);
     // Whether this host can reach an upstream says nothing to the others.
-    if (report.result != work_result::Unreachable)
-        m_samples.push_back({ report.upstream, report.result, report.latency, report.result == work_result::Crashed ? report.fingerprint : 0 });
+    if (report.result == work_result::Unreachable)
+        return;
+    const neighbour_sample sample { report.upstream, report.result, report.latency, report.result == work_result::Crashed ? report.fingerprint : 0 };
+    m_samples.push_back(sample);
+    if (beganToFail)
+        m_notice.failures.push_back(sample);
 }
 
 void dispatch_core::noteCrash(std::uint64_t fingerprint, const std::string& upstream, instant now)
@@ -85,7 +89,25 @@
     const bool wasQuarantined = m_quarantine.isQuarantined(fingerprint, now);
     m_quarantine.noteCrash(fingerprint, now);
     if (!wasQuarantined && m_quarantine.isQuarantined(fingerprint, now))
-        m_newlyQuarantined.push_back(fingerprint);
+        m_notice.quarantined.push_back(fingerprint);
+}
+
+void dispatch_core::quarantine(std::uint64_t fingerprint, instant now)
+{
+    while (!m_quarantine.isQuarantined(fingerprint, now))
+        m_quarantine.noteCrash(fingerprint, now);
+}
+
+void dispatch_core::noteNotice(const notice& it, instant now)
+{
+    for (const neighbour_sample& sample : it.failures) {
+        m_choice.noteRemote(sample.upstream, sample.result, sample.latency, now);
+        m_samples.push_back(sample);
+    }
+    for (const std::uint64_t fingerprint : it.quarantined) {
+        quarantine(fingerprint, now);
+        m_quarantined.push_back(fingerprint);
+    }
 }
 
 neighbour_report dispatch_core::takeReport()
@@ -98,6 +120,7 @@
     report.admitted = m_admitted;
     report.samples = std::move(m_samples);
     m_samples.clear();
+    report.quarantined = std::exchange(m_quarantined, {});
     return report;
 }
 
@@ -128,21 +151,10 @@
             noteCrash(sample.fingerprint, sample.upstream, now);
     }
     for (const std::uint64_t fingerprint : report.quarantined)
-        noteQuarantined(fingerprint, now);
+        quarantine(fingerprint, now);
     tick(now);
 }
 
-std::vector<std::uint64_t> dispatch_core::takeQuarantined()
-{
-    return std::exchange(m_newlyQuarantined, {});
-}
-
-void dispatch_core::noteQuarantined(std::uint64_t fingerprint, instant now)
-{
-    while (!m_quarantine.isQuarantined(fingerprint, now))
-        m_quarantine.noteCrash(fingerprint, now);
-}
-
 void dispatch_core::tick(instant now)
 {
     const auto isHeard = [now](const auto& it) { return now - it.second.heardAt <= neighbourTimeout; };
--- a/Source/Core/dispatch_core.h
+++ b/Source/Core/dispatch_core.h
@@ -17,6 +17,8 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace almondmoor {
 
@@ -66,6 +68,8 @@
     // Counts a request towards the retry budget of its service.
     void noteFirstAttempt(const std::string& service) { m_budget.noteFirstAttempt(service); }
 
+    bool hasRetry(const std::string& service) const { return m_budget.mayRetry(service); }
+
     // Takes a retry from the budget of a service. Returns false if it is used up.
     bool takeRetry(const std::string& service);
 
@@ -78,10 +82,21 @@
     // Takes in a neighbour's report. Reports that arrive out of order are dropped.
     void noteReport(const neighbour_report&, instant now);
 
-    // Returns crashed requests that all hosts of the fleet should know of and
-    // that were not returned before.
-    std::vector<std::uint64_t> takeQuarantined();
-    void noteQuarantined(std::uint64_t fingerprint, instant now);
+    // What hosts of all data centres should know: upstreams that began to fail
+    // and requests that crash upstreams.
+    struct notice {
+        std::vector<neighbour_sample> failures;
+        std::vector<std::uint64_t> quarantined;
+
+        bool isEmpty() const { return failures.empty() && quarantined.empty(); }
+    };
+
+    // Returns what came up since the last call.
+    notice takeNotice() { return std::exchange(m_notice, {}); }
+
+    // Takes in a notice from another data centre and passes it on to the
+    // neighbours with the next report.
+    void noteNotice(const notice&, instant now);
 
     // Counts the neighbours that are heard, and forgets old crashes.
     void tick(instant now);
@@ -101,6 +116,7 @@
     };
 
     void noteCrash(std::uint64_t fingerprint, const std::string& upstream, instant now);
+    void quarantine(std::uint64_t fingerprint, instant now);
 
     dispatch_settings m_settings;
     std::string m_host;
@@ -113,7 +129,9 @@
     unsigned m_heard = 1;
     std::map<std::string, neighbour_row> m_neighbours;
     std::map<std::uint64_t, crash_row> m_crashes;
-    std::vector<std::uint64_t> m_newlyQuarantined;
+    notice m_notice;
+    // Fingerprints to pass on to the neighbours.
+    std::vector<std::uint64_t> m_quarantined;
     // Admissions since the start, by team; told to neighbours as totals so that
     // a lost report loses none.
     std::map<std::string, std::uint64_t> m_admitted;
--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -10,6 +10,13 @@
 
     // Weight of one answer in the average latency of a service.
     constexpr double serviceLatencyWeight = 0.02;
+    // Probability from which an upstream looks failing.
+    constexpr double looksFailing = 0.5;
+    // No belief is certain, so that each can change.
+    constexpr double leastProbability = 0.001;
+    constexpr double greatestProbability = 0.995;
+    // Weight of one failure in the average time that failures take.
+    constexpr double failureTimeWeight = 0.5;
 
     double averaged(double average, double sample, double weight)
     {
@@ -28,12 +35,18 @@
     return isSameRegion ? distance_tier::SameRegion : distance_tier::OtherRegion;
 }
 
-void upstream_choice::adopt(const upstream_directory& directory, instant)
+void upstream_choice::adopt(const upstream_directory& directory, instant now)
 {
     std::erase_if(m_rows, [&directory](const auto& it) { return !directory.count(it.first); });
     m_byService.clear();
     for (const auto& [id, entry] : directory) {
-        row& it = m_rows[id];
+        const auto [place, isNew] = m_rows.try_emplace(id);
+        row& it = place->second;
+        if (isNew) {
+            it.failingAt = now;
+            it.slownessAt = now;
+            it.usedAt = now - m_settings.longestExploration;
+        }
         it.entry = entry;
         it.tier = tierOf(entry.dataCentre);
         m_byService[entry.service].push_back(id);
@@ -54,21 +67,25 @@
     return ahead <= 0 ? 0 : ahead / it.entry.slots * latency;
 }
 
-double upstream_choice::costOf(const row& it, bool isRepeatable, double latency, instant now) const
+double upstream_choice::costOf(const row& it, bool mayFail, double latency, instant now) const
 {
     const double inFlight = it.ownInFlight + it.peersInFlight;
     const bool isCold = now < it.entry.coldUntil;
     const double work = latency * (isCold ? m_settings.coldFactor : 1) * (1 + m_settings.crowdingCost * inFlight / it.entry.slots);
-    const double prior = m_settings.priorSamples;
-    const double failureRate = (it.bad + m_settings.ordinaryFailureRate * prior) / (it.good + it.bad + prior);
-    const double failureCost = toSeconds(isRepeatable ? m_settings.repeatableFailureCost : m_settings.failureCost);
-    double cost = work + waitAt(it, latency) + failureRate * failureCost;
+    double cost = work + waitAt(it, latency);
     if (it.tier == distance_tier::SameRegion)
         cost += toSeconds(m_settings.sameRegionCost);
     else if (it.tier == distance_tier::OtherRegion)
         cost += toSeconds(m_settings.otherRegionCost);
     if (now - it.shedAt < m_settings.shedMemory)
         cost += toSeconds(m_settings.shedCost);
+    if (!mayFail)
+        return cost + it.failing * toSeconds(m_settings.failureCost);
+    cost += it.failing * (it.failureTime + toSeconds(m_settings.repeatCost));
+    if (it.tier == distance_tier::SameDataCentre) {
+        const duration unused = std::min(now - it.usedAt, m_settings.longestExploration);
+        cost -= toSeconds(unused) * toSeconds(m_settings.explorationPerSecond);
+    }
     return cost;
 }
 
@@ -88,14 +105,14 @@
         row& it = m_rows.at(id);
         if (it.entry.isLeaving || (question.tried && question.tried->count(id)))
             continue;
-        fade(it, now);
-        const double latency = it.latency > 0 ? it.latency : usual;
+        age(it, now);
+        const double latency = it.slowness * usual;
         const double wait = waitAt(it, latency);
         shortestWait = std::min(shortestWait, wait);
         const bool isFull = it.ownInFlight + it.peersInFlight >= it.entry.slots * (1 + m_settings.longestQueuePerSlot);
         if (isFull || wait >= toSeconds(question.timeLeft))
             continue;
-        double cost = costOf(it, question.isRepeatable, latency, now) + jitter(random);
+        double cost = costOf(it, question.mayFail, latency, now) + jitter(random);
         // An upstream beyond a broken path is the last resort.
         if (now < it.avoidUntil)
             cost += toSeconds(m_settings.failureCost);
@@ -111,31 +128,51 @@
         return result;
     }
     ++best->ownInFlight;
+    best->usedAt = now;
     result.upstream = &best->entry;
     return result;
 }
 
-void upstream_choice::fade(row& it, instant now) const
+void upstream_choice::age(row& it, instant now) const
 {
-    if (it.evidenceAt != longAgo && now > it.evidenceAt) {
-        const double factor = std::exp(-toSeconds(now - it.evidenceAt) / toSeconds(m_settings.evidenceMemory));
-        it.good *= factor;
-        it.bad *= factor;
-    }
-    it.evidenceAt = now;
+    if (now <= it.failingAt)
+        return;
+    const failure_model& model = m_settings.failures;
+    const double common = model.onsetRate / (model.onsetRate + model.endRate);
+    const double kept = std::exp(-toSeconds(now - it.failingAt) * (model.onsetRate + model.endRate));
+    it.failing = common + (it.failing - common) * kept;
+    it.failingAt = now;
+    const double latencyKept = std::exp(-toSeconds(now - it.slownessAt) / toSeconds(m_settings.latencyMemory));
+    it.slowness = 1 + (it.slowness - 1) * latencyKept;
+    it.slownessAt = now;
+}
+
+void upstream_choice::weigh(row& it, double whileFailing, double whileSound) const
+{
+    const double failing = it.failing * whileFailing;
+    const double sound = (1 - it.failing) * whileSound;
+    it.failing = std::clamp(failing / (failing + sound), leastProbability, greatestProbability);
 }
 
 void upstream_choice::note(row& it, work_result result, duration latency, instant now) const
 {
-    fade(it, now);
+    age(it, now);
+    it.usedAt = std::max(it.usedAt, now);
+    const failure_model& model = m_settings.failures;
     switch (result) {
-    case work_result::Good:
-        it.good += 1;
-        it.latency = averaged(it.latency, toSeconds(latency), m_settings.latencyWeight);
+    case work_result::Good: {
+        weigh(it, model.goodWhileFailing, model.goodWhileSound);
+        const double relative = toSeconds(latency) / serviceLatency(it.entry.service);
+        it.slowness = averaged(it.slowness, relative, m_settings.latencyWeight);
         break;
+    }
     case work_result::Failed:
+        weigh(it, model.errorWhileFailing, model.errorWhileSound);
+        it.failureTime = averaged(it.failureTime, toSeconds(latency), failureTimeWeight);
+        break;
     case work_result::Crashed:
-        it.bad += 1;
+        weigh(it, model.lostWhileFailing, model.lostWhileSound);
+        it.failureTime = averaged(it.failureTime, toSeconds(latency), failureTimeWeight);
         break;
     case work_result::Shed:
         it.shedAt = now;
@@ -145,13 +182,15 @@
     }
 }
 
-void upstream_choice::finish(const std::string& id, work_result result, duration latency, instant now)
+bool upstream_choice::finish(const std::string& id, work_result result, duration latency, instant now)
 {
     const auto found = m_rows.find(id);
     if (found == m_rows.end())
-        return;
+        return false;
     row& it = found->second;
     release(id);
+    age(it, now);
+    const double before = it.failing;
     note(it, result, latency, now);
     if (result == work_result::Good) {
         double& average = m_serviceLatency[it.entry.service];
@@ -159,10 +198,11 @@
     }
     if (result != work_result::Unreachable) {
         it.failedConnects = 0;
-        return;
+        return before < looksFailing && it.failing >= looksFailing;
     }
     const unsigned doublings = std::min(it.failedConnects++, 8U);
     it.avoidUntil = now + std::min(m_settings.firstAvoidance * (1 << doublings), m_settings.longestAvoidance);
+    return false;
 }
 
 void upstream_choice::release(const std::string& id)
@@ -217,6 +257,12 @@
     return counts;
 }
 
+double upstream_choice::failingProbability(const std::string& id) const
+{
+    const auto found = m_rows.find(id);
+    return found == m_rows.end() ? 0 : found->second.failing;
+}
+
 bool upstream_choice::takesNewWork(const std::string& id) const
 {
     const auto found = m_rows.find(id);
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -2,11 +2,19 @@
 //
 // Each candidate has an expected cost in seconds: the time that its queue and
 // its own speed are expected to take, the distance, and what a failure would
-// cost, weighted by how likely recent work makes it. The cheapest candidate is
-// taken. Hosts of one data centre tell each other what they have in flight and
-// what became of it, so that they do not meet at full upstreams and learn of a
-// failing one together. Evidence fades, so that an upstream is tried again;
-// idempotent requests, whose failure costs less, try it first.
+// cost, weighted by the probability that the upstream is failing. The cheapest
+// candidate is taken.
+//
+// That probability follows Bayes' rule over a model with two states, sound and
+// failing: work moves it by how likely each state makes the result, and time
+// moves it towards how common failing upstreams are. An upstream that was not
+// used for a while is therefore less certain than one that just worked, and
+// requests that must not be repeated keep to the latter. Idempotent requests,
+// which can be sent again, find out about the others.
+//
+// Hosts of one data centre tell each other what they have in flight and what
+// became of it, so that they do not meet at full upstreams and learn of a
+// failing one together. Failures are told to the other data centres too.
 //
 // The class has no lock and no clock.
 
@@ -51,25 +59,45 @@
 // Regions by data centre.
 using region_map = std::map<std::string, std::string>;
 
+// How often upstreams begin and cease to fail, and what their work looks like
+// meanwhile.
+struct failure_model {
+    // Per second.
+    double onsetRate = 0.03;
+    double endRate = 0.10;
+    // Probability of each result while failing and while sound.
+    double lostWhileFailing = 0.85;
+    double lostWhileSound = 0.003;
+    double errorWhileFailing = 0.4;
+    double errorWhileSound = 0.015;
+    double goodWhileFailing = 0.2;
+    double goodWhileSound = 0.98;
+};
+
 struct choice_settings {
+    failure_model failures;
     // Latency that is expected of a service before any answer.
     duration firstLatency = std::chrono::milliseconds(150);
-    // Costs of crossing to another data centre or region, beyond the path's time.
-    duration sameRegionCost = std::chrono::milliseconds(15);
-    duration otherRegionCost = std::chrono::milliseconds(70);
-    // Cost of a failure, for requests that may and may not be repeated.
-    duration repeatableFailureCost = std::chrono::milliseconds(500);
+    // Costs of crossing to another data centre or region, beyond the path's time:
+    // such links are billed.
+    duration sameRegionCost = std::chrono::milliseconds(100);
+    duration otherRegionCost = std::chrono::milliseconds(400);
+    // Cost of a failure that cannot be made good.
     duration failureCost = std::chrono::milliseconds(2000);
+    // Cost of sending an idempotent request again, beyond the time that the
+    // failure took.
+    duration repeatCost = std::chrono::milliseconds(200);
+    // Idempotent requests value each second that an upstream was not used, so
+    // that each upstream near this host shows how it is.
+    duration explorationPerSecond = std::chrono::milliseconds(250);
+    duration longestExploration = std::chrono::seconds(3);
     // Cost of meeting an upstream that shed load a moment ago.
     duration shedCost = std::chrono::milliseconds(300);
     duration shedMemory = std::chrono::milliseconds(300);
-    // Ordinary failure rate, and how many samples' weight it has.
-    double ordinaryFailureRate = 0.015;
-    double priorSamples = 4;
-    // Time over which evidence fades.
-    duration evidenceMemory = std::chrono::seconds(6);
     // Weight of a new latency in an upstream's average.
     double latencyWeight = 0.2;
+    // Time over which an upstream's latency goes back to that of its service.
+    duration latencyMemory = std::chrono::seconds(8);
     // Part of the latency that each busy slot adds, for upstreams that slow down
     // when nearly full.
     double crowdingCost = 0.25;
@@ -90,7 +118,8 @@
 // What a request needs of an upstream.
 struct choice_question {
     std::string service;
-    bool isRepeatable = false;
+    // Whether a failure could be made good by sending the request again.
+    bool mayFail = false;
     const std::set<std::string>* tried = nullptr;
     // Time left for the answer.
     duration timeLeft {};
@@ -127,8 +156,9 @@
     // Chooses an upstream and counts a request in flight there.
     choice_result choose(const choice_question&, instant now, std::mt19937_64& random);
 
-    // Ends a request in flight, and takes in what became of it.
-    void finish(const std::string& id, work_result, duration latency, instant now);
+    // Ends a request in flight, and takes in what became of it. Returns whether
+    // the upstream looks failing by now and did not before.
+    bool finish(const std::string& id, work_result, duration latency, instant now);
 
     // Ends a request in flight that says nothing about the upstream.
     void release(const std::string& id);
@@ -145,6 +175,9 @@
     // Returns whether a dispatch chosen earlier may still go to an upstream.
     bool takesNewWork(const std::string& id) const;
 
+    // Returns the probability that an upstream is failing; zero if unknown.
+    double failingProbability(const std::string& id) const;
+
     std::size_t size() const { return m_rows.size(); }
 
 private:
@@ -153,12 +186,16 @@
         distance_tier tier = distance_tier::SameDataCentre;
         unsigned ownInFlight = 0;
         unsigned peersInFlight = 0;
-        // Decaying counts of good and bad work.
-        double good = 0;
-        double bad = 0;
-        instant evidenceAt = longAgo;
-        // Average latency in seconds of work that did not queue; zero before any.
-        double latency = 0;
+        // Probability that it is failing, as of an instant.
+        double failing = 0;
+        instant failingAt = longAgo;
+        // Latest use by any host that told of it.
+        instant usedAt = longAgo;
+        // Average latency in seconds relative to its service.
+        double slowness = 1;
+        instant slownessAt = longAgo;
+        // Average seconds that failures took to show.
+        double failureTime = 0;
         instant shedAt = longAgo;
         unsigned failedConnects = 0;
         instant avoidUntil = longAgo;
@@ -170,11 +207,13 @@
     };
 
     void note(row&, work_result, duration latency, instant now) const;
-    void fade(row&, instant now) const;
+    // Moves what is believed of an upstream on to an instant.
+    void age(row&, instant now) const;
+    void weigh(row&, double whileFailing, double whileSound) const;
     double serviceLatency(const std::string& service) const;
     // Returns the seconds that a request would wait for a slot.
     double waitAt(const row&, double latency) const;
-    double costOf(const row&, bool isRepeatable, double latency, instant now) const;
+    double costOf(const row&, bool mayFail, double latency, instant now) const;
     void forgetSilentPeers(instant now);
     void countPeers();
     distance_tier tierOf(const std::string& dataCentre) const;
--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -24,6 +24,7 @@
 
 neighbour_link::neighbour_link(proxy_runtime& runtime)
     : m_runtime(runtime)
+    , m_random(runtime.seed())
 {
 }
 
@@ -102,10 +103,9 @@
     m_runtime.counters().add(event::NeighbourReportsTaken);
     const instant now = presentInstant();
     if (report->dataCentre != m_runtime.settings().dataCentre) {
-        m_runtime.withCore([&](dispatch_core& it) {
-            for (const std::uint64_t fingerprint : report->quarantined)
-                it.noteQuarantined(fingerprint, now);
-        });
+        const dispatch_core::notice notice { report->samples, report->quarantined };
+        m_runtime.withCore([&](dispatch_core& it) { it.noteNotice(notice, now); });
+        announce();
         return;
     }
     m_runtime.withCore([&](dispatch_core& it) { it.noteReport(*report, now); });
@@ -113,29 +113,62 @@
     m_hosts[report->host] = { report->address, report->dataCentre };
 }
 
+neighbour_report neighbour_link::signedReport()
+{
+    const auto& settings = m_runtime.settings();
+    neighbour_report report;
+    report.host = settings.hostName;
+    report.dataCentre = settings.dataCentre;
+    report.address = settings.peerAddress;
+    report.incarnation = m_runtime.incarnation();
+    return report;
+}
+
 void neighbour_link::send()
 {
     m_sentAt = presentInstant();
     const auto& settings = m_runtime.settings();
     const std::lock_guard lock(m_mutex);
-    neighbour_report report = m_runtime.withCore([](dispatch_core& it) {
-        neighbour_report taken = it.takeReport();
-        taken.quarantined = it.takeQuarantined();
-        return taken;
+    dispatch_core::notice notice;
+    neighbour_report state = m_runtime.withCore([&notice](dispatch_core& it) {
+        notice = it.takeNotice();
+        return it.takeReport();
     });
-    report.dataCentre = settings.dataCentre;
-    report.address = settings.peerAddress;
-    report.incarnation = m_runtime.incarnation();
+    neighbour_report report = signedReport();
     report.sequence = ++m_sequence;
+    report.inFlight = std::move(state.inFlight);
+    report.admitted = std::move(state.admitted);
+    report.samples = std::move(state.samples);
+    report.quarantined = std::move(state.quarantined);
+    report.quarantined.insert(report.quarantined.end(), notice.quarantined.begin(), notice.quarantined.end());
     const std::string bytes = encodeReport(report);
-    for (const std::uint64_t fingerprint : report.quarantined)
-        logInfo(absl::StrCat("event=quarantine fingerprint=", absl::Hex(fingerprint)));
     for (const auto& [name, entry] : m_hosts) {
-        const bool isNeighbour = entry.dataCentre == settings.dataCentre && name != settings.hostName;
-        const bool isFar = entry.dataCentre != settings.dataCentre && !report.quarantined.empty();
-        if (isNeighbour || isFar)
+        if (entry.dataCentre == settings.dataCentre && name != settings.hostName)
             sendTo(entry, bytes);
     }
+    if (!notice.isEmpty())
+        sendNotice(notice);
+}
+
+void neighbour_link::sendNotice(const dispatch_core::notice& notice)
+{
+    for (const std::uint64_t fingerprint : notice.quarantined)
+        logInfo(absl::StrCat("event=quarantine fingerprint=", absl::Hex(fingerprint)));
+    for (const neighbour_sample& sample : notice.failures)
+        logInfo(absl::StrCat("event=upstream-failing upstream=", sample.upstream, " result=", std::string(nameIn(workResultNames, sample.result))));
+    neighbour_report report = signedReport();
+    report.samples = notice.failures;
+    report.quarantined = notice.quarantined;
+    const std::string bytes = encodeReport(report);
+    std::map<std::string, std::vector<const roster_entry*>> byDataCentre;
+    for (const auto& [name, entry] : m_hosts) {
+        if (entry.dataCentre != m_runtime.settings().dataCentre)
+            byDataCentre[entry.dataCentre].push_back(&entry);
+    }
+    for (const auto& [dataCentre, hosts] : byDataCentre) {
+        std::uniform_int_distribution<std::size_t> draw(0, hosts.size() - 1);
+        sendTo(*hosts[draw(m_random)], bytes);
+    }
 }
 
 void neighbour_link::sendTo(const roster_entry& entry, const std::string& bytes)
--- a/Source/neighbour_link.h
+++ b/Source/neighbour_link.h
@@ -1,8 +1,9 @@
 // Exchanges reports with the hosts of the same data centre over UDP.
 //
 // A report goes out after each step of a request, and from time to time without
-// one. A lost datagram is made good by the next. Requests that crash upstreams
-// are told to the hosts of all data centres.
+// one. A lost datagram is made good by the next. Of upstreams that begin to fail
+// and requests that crash upstreams, one host of each other data centre is told,
+// which tells its neighbours.
 
 #pragma once
 
@@ -12,6 +13,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 
@@ -40,8 +42,11 @@
     void run();
     void receive();
     void take(const std::string& bytes);
-    // Sends a report to the neighbours; requests to be quarantined to all hosts.
+    // Sends a report to the neighbours and, if there is one, a notice to a host of
+    // each other data centre.
     void send();
+    void sendNotice(const dispatch_core::notice&);
+    neighbour_report signedReport();
     void sendTo(const roster_entry&, const std::string& bytes);
 
     proxy_runtime& m_runtime;
@@ -49,6 +54,7 @@
     std::mutex m_mutex;
     host_roster m_hosts;
     std::uint64_t m_sequence = 0;
+    std::mt19937_64 m_random;
     std::atomic<instant> m_sentAt { longAgo };
     std::atomic<bool> m_isStopping { false };
     std::thread m_thread;
--- a/Source/route_handler.cxx
+++ b/Source/route_handler.cxx
@@ -243,10 +243,10 @@
     bool goesOn = true;
     while (goesOn && !m_isAnswered) {
         const instant now = presentInstant();
-        const choice_question question { m_service, m_route->isRepeatable, &m_tried, m_limit - now };
         std::optional<directory_entry> chosen;
-        choice_result result = m_runtime.withCore([&](dispatch_core& it) {
-            const choice_result choice = it.choose(question, now);
+        const choice_result result = m_runtime.withCore([&](dispatch_core& it) {
+            const bool mayFail = mayTryAfterNext() && it.hasRetry(m_service);
+            const choice_result choice = it.choose({ m_service, mayFail, &m_tried, m_limit - now }, now);
             if (choice.upstream)
                 chosen = *choice.upstream;
             return choice;
@@ -270,11 +270,15 @@
         refuse(m_lastFailure, m_lastDetail, m_roomIn);
 }
 
+bool route_handler::mayTryAfterNext() const
+{
+    return m_route->isRepeatable && !m_outgoing.bodyRest && m_sends + 1 < m_route->mostAttempts;
+}
+
 duration route_handler::attemptTime(instant now)
 {
     const duration left = m_limit - now;
-    const bool mayTryAgain = m_route->isRepeatable && !m_outgoing.bodyRest && m_sends + 1 < m_route->mostAttempts;
-    return mayTryAgain ? fromSeconds(toSeconds(left) * attemptPart) : left + lateAnswerTime;
+    return mayTryAfterNext() ? fromSeconds(toSeconds(left) * attemptPart) : left + lateAnswerTime;
 }
 
 bool route_handler::attemptOnce(const directory_entry& upstream)
--- a/Source/route_handler.h
+++ b/Source/route_handler.h
@@ -46,6 +46,8 @@
     std::optional<work_result> resultOf(exchange_end, const upstream_exchange&, duration waited) const;
     void noteAttempt(const directory_entry&, exchange_end, const upstream_exchange&, duration waited);
     bool mayRetry(retry_reason why);
+    // Returns whether the request may be sent once more if the next attempt fails.
+    bool mayTryAfterNext() const;
     duration attemptTime(instant now);
     void prepareOutgoing();
 
