Proxy: Break work off only for another try, and use every near upstream

Change: at half time the answer is awaited on unless a retry is granted; every request values an upstream by the time for which its data centre has not used it.

--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -79,9 +79,7 @@
         cost += toSeconds(m_settings.otherRegionCost);
     if (now - it.shedAt < m_settings.shedMemory)
         cost += toSeconds(m_settings.shedCost);
-    if (!mayFail)
-        return cost + it.failing * toSeconds(m_settings.failureCost);
-    cost += it.failing * (it.failureTime + toSeconds(m_settings.repeatCost));
+    cost += it.failing * (mayFail ? it.failureTime + toSeconds(m_settings.repeatCost) : toSeconds(m_settings.failureCost));
     if (it.tier == distance_tier::SameDataCentre) {
         const duration unused = std::min(now - it.usedAt, m_settings.longestExploration);
         cost -= toSeconds(unused) * toSeconds(m_settings.explorationPerSecond);
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -63,8 +63,8 @@
 // meanwhile.
 struct failure_model {
     // Per second.
-    double onsetRate = 0.03;
-    double endRate = 0.10;
+    double onsetRate = 0.02;
+    double endRate = 0.12;
     // Probability of each result while failing and while sound.
     double lostWhileFailing = 0.85;
     double lostWhileSound = 0.003;
@@ -87,10 +87,10 @@
     // Cost of sending an idempotent request again, beyond the time that the
     // failure took.
     duration repeatCost = std::chrono::milliseconds(200);
-    // Idempotent requests value each second that an upstream was not used, so
-    // that each upstream near this host shows how it is.
+    // Each second that an upstream of this data centre was not used counts for it
+    // by this much, so that each shows how it is and none stays idle.
     duration explorationPerSecond = std::chrono::milliseconds(250);
-    duration longestExploration = std::chrono::seconds(3);
+    duration longestExploration = std::chrono::milliseconds(2500);
     // Cost of meeting an upstream that shed load a moment ago.
     duration shedCost = std::chrono::milliseconds(300);
     duration shedMemory = std::chrono::milliseconds(300);
--- a/Source/route_handler.cxx
+++ b/Source/route_handler.cxx
@@ -306,7 +306,15 @@
             return true;
         },
         rules);
-    const exchange_end end = exchange.run(m_outgoing, m_guest, startedAt + attemptTime(startedAt), m_runtime.settings().bodyTimeout);
+    exchange_end end = exchange.run(m_outgoing, m_guest, startedAt + attemptTime(startedAt), m_runtime.settings().bodyTimeout);
+    // Work is broken off only if the request can be sent elsewhere.
+    const bool isEarly = end == exchange_end::Timeout && presentInstant() < m_limit;
+    bool hasRetry = false;
+    if (isEarly && exchange.mayWaitOn()) {
+        hasRetry = m_runtime.phase() == stop_phase::Running && mayRetry(retry_reason::AnswerTimeout);
+        if (!hasRetry)
+            end = exchange.waitOn(m_outgoing.head.getMethod(), m_guest, m_limit + lateAnswerTime);
+    }
     const duration waited = presentInstant() - startedAt;
     m_upstreamTime += waited;
     m_lastDetail = exchange.detail();
@@ -355,7 +363,7 @@
     noteAttempt(upstream, end, exchange, waited);
     m_progress.markLost(number);
     exchange.cancel();
-    return handleLoss(end);
+    return handleLoss(end) || hasRetry;
 }
 
 bool route_handler::handleLoss(exchange_end end)
@@ -363,9 +371,10 @@
     m_lastFailure = end == exchange_end::Timeout ? refusal_reason::AnswerTimeout
         : end == exchange_end::BadAnswer         ? refusal_reason::BadAnswer
                                                  : refusal_reason::AnswerLost;
-    if (m_outgoing.bodyRest)
+    // Whether one that was given up early is sent again has been decided.
+    if (m_outgoing.bodyRest || end == exchange_end::Timeout)
         return false;
-    return mayRetry(end == exchange_end::Timeout ? retry_reason::AnswerTimeout : retry_reason::AnswerLost);
+    return mayRetry(retry_reason::AnswerLost);
 }
 
 bool route_handler::handleAnswer(const directory_entry& upstream, unsigned number, upstream_exchange& exchange)
--- a/Source/upstream_exchange.cxx
+++ b/Source/upstream_exchange.cxx
@@ -164,6 +164,7 @@
 {
     for (unsigned skipped = 0; skipped <= mostSkippedAnswers; ++skipped) {
         const exchange_end end = receiveOneHead(method, guest, deadline);
+        m_mayWaitOn = end == exchange_end::Timeout;
         if (end != exchange_end::Answered)
             return end;
         if (!isForAnotherRequest())
--- a/Source/upstream_exchange.h
+++ b/Source/upstream_exchange.h
@@ -86,6 +86,13 @@
     // stream is watched so that a guest who leaves cancels the work.
     exchange_end run(const outgoing_request&, byte_stream& guest, instant deadline, duration bodyTimeout);
 
+    // Returns whether run() ended as Timeout while the answer was awaited, so that
+    // it may be awaited further.
+    bool mayWaitOn() const { return m_mayWaitOn; }
+
+    // Waits on for the head of the answer.
+    exchange_end waitOn(const std::string& method, byte_stream& guest, instant deadline) { return receiveHead(method, guest, deadline); }
+
     const Poco::Net::HTTPResponse& response() const { return m_response; }
     body_framing framing() const { return m_framing; }
     byte_stream& stream() { return *m_stream; }
@@ -126,6 +133,7 @@
     std::string m_detail;
     bool m_isBodySent = false;
     bool m_isKept = false;
+    bool m_mayWaitOn = false;
 };
 
 } // namespace almondmoor
