Choice: Measure costs by the target latency; tests of the new decisions

Cause: the cost of a failure and of crossing regions stood in milliseconds, so that a request with a target of 1,200 ms crossed billed links as readily as one of 400 ms; connects beyond a broken path took 200 ms each and four of them ended a request; requests that came in the first tenth of a second of a host were refused. Change: costs are parts of the target latency; connects have 50, 70 or 150 ms by distance; a request waits up to 0.5 s for a host that has just started.

--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -12,8 +12,8 @@
     constexpr double serviceLatencyWeight = 0.02;
     // Probability from which an upstream looks failing.
     constexpr double looksFailing = 0.5;
-    // No belief is certain, so that each can change.
-    constexpr double leastProbability = 0.001;
+    // No belief is certain, so that one lost request can change it.
+    constexpr double leastProbability = 0.01;
     constexpr double greatestProbability = 0.995;
     // Weight of one failure in the average time that failures take.
     constexpr double failureTimeWeight = 0.5;
@@ -43,6 +43,7 @@
         const auto [place, isNew] = m_rows.try_emplace(id);
         row& it = place->second;
         if (isNew) {
+            it.failing = commonProbability();
             it.failingAt = now;
             it.slownessAt = now;
             it.usedAt = now - m_settings.longestExploration;
@@ -67,19 +68,20 @@
     return ahead <= 0 ? 0 : ahead / it.entry.slots * latency;
 }
 
-double upstream_choice::costOf(const row& it, bool mayFail, double latency, instant now) const
+double upstream_choice::costOf(const row& it, const choice_question& question, double latency, instant now) const
 {
+    const double target = toSeconds(question.targetLatency);
     const double inFlight = it.ownInFlight + it.peersInFlight;
     const bool isCold = now < it.entry.coldUntil;
     const double work = latency * (isCold ? m_settings.coldFactor : 1) * (1 + m_settings.crowdingCost * inFlight / it.entry.slots);
     double cost = work + waitAt(it, latency);
     if (it.tier == distance_tier::SameRegion)
-        cost += toSeconds(m_settings.sameRegionCost);
+        cost += m_settings.sameRegionCost * target;
     else if (it.tier == distance_tier::OtherRegion)
-        cost += toSeconds(m_settings.otherRegionCost);
+        cost += m_settings.otherRegionCost * target;
     if (now - it.shedAt < m_settings.shedMemory)
         cost += toSeconds(m_settings.shedCost);
-    cost += it.failing * (mayFail ? it.failureTime + toSeconds(m_settings.repeatCost) : toSeconds(m_settings.failureCost));
+    cost += it.failing * (question.mayFail ? it.failureTime + toSeconds(m_settings.repeatCost) : m_settings.failureCost * target);
     if (it.tier == distance_tier::SameDataCentre) {
         const duration unused = std::min(now - it.usedAt, m_settings.longestExploration);
         cost -= toSeconds(unused) * toSeconds(m_settings.explorationPerSecond);
@@ -110,10 +112,10 @@
         const bool isFull = it.ownInFlight + it.peersInFlight >= it.entry.slots * (1 + m_settings.longestQueuePerSlot);
         if (isFull || wait >= toSeconds(question.timeLeft))
             continue;
-        double cost = costOf(it, question.mayFail, latency, now) + jitter(random);
+        double cost = costOf(it, question, latency, now) + jitter(random);
         // An upstream beyond a broken path is the last resort.
         if (now < it.avoidUntil)
-            cost += toSeconds(m_settings.failureCost);
+            cost += m_settings.failureCost * toSeconds(question.targetLatency);
         if (cost < bestCost) {
             best = &it;
             bestCost = cost;
@@ -128,15 +130,22 @@
     ++best->ownInFlight;
     best->usedAt = now;
     result.upstream = &best->entry;
+    result.tier = best->tier;
     return result;
 }
 
+double upstream_choice::commonProbability() const
+{
+    const failure_model& model = m_settings.failures;
+    return model.onsetRate / (model.onsetRate + model.endRate);
+}
+
 void upstream_choice::age(row& it, instant now) const
 {
     if (now <= it.failingAt)
         return;
     const failure_model& model = m_settings.failures;
-    const double common = model.onsetRate / (model.onsetRate + model.endRate);
+    const double common = commonProbability();
     const double kept = std::exp(-toSeconds(now - it.failingAt) * (model.onsetRate + model.endRate));
     it.failing = common + (it.failing - common) * kept;
     it.failingAt = now;
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -78,12 +78,13 @@
     failure_model failures;
     // Latency that is expected of a service before any answer.
     duration firstLatency = std::chrono::milliseconds(150);
-    // Costs of crossing to another data centre or region, beyond the path's time:
-    // such links are billed.
-    duration sameRegionCost = std::chrono::milliseconds(100);
-    duration otherRegionCost = std::chrono::milliseconds(400);
-    // Cost of a failure that cannot be made good.
-    duration failureCost = std::chrono::milliseconds(2000);
+    // Costs of crossing to another data centre or region, as parts of the target
+    // latency: such links are billed.
+    double sameRegionCost = 0.2;
+    double otherRegionCost = 0.6;
+    // Cost of a failure that cannot be made good, as a multiple of the target
+    // latency.
+    double failureCost = 2.5;
     // Cost of sending an idempotent request again, beyond the time that the
     // failure took.
     duration repeatCost = std::chrono::milliseconds(200);
@@ -123,6 +124,8 @@
     const std::set<std::string>* tried = nullptr;
     // Time left for the answer.
     duration timeLeft {};
+    // Time within which an answer has its full worth; costs are measured by it.
+    duration targetLatency {};
 };
 
 // Why no upstream was chosen.
@@ -136,6 +139,7 @@
 struct choice_result {
     // Null if none was chosen. Valid until the directory changes.
     const directory_entry* upstream = nullptr;
+    distance_tier tier = distance_tier::SameDataCentre;
     choice_refusal refusal = choice_refusal::NoUpstream;
     // For refusals: when room is expected.
     duration roomIn {};
@@ -207,13 +211,15 @@
     };
 
     void note(row&, work_result, duration latency, instant now) const;
+    // Returns the probability that an upstream of which nothing is known is failing.
+    double commonProbability() const;
     // Moves what is believed of an upstream on to an instant.
     void age(row&, instant now) const;
     void weigh(row&, double whileFailing, double whileSound) const;
     double serviceLatency(const std::string& service) const;
     // Returns the seconds that a request would wait for a slot.
     double waitAt(const row&, double latency) const;
-    double costOf(const row&, bool mayFail, double latency, instant now) const;
+    double costOf(const row&, const choice_question&, double latency, instant now) const;
     void forgetSilentPeers(instant now);
     void countPeers();
     distance_tier tierOf(const std::string& dataCentre) const;
--- a/Source/proxy_runtime.cxx
+++ b/Source/proxy_runtime.cxx
@@ -11,6 +11,8 @@
 
 namespace {
 
+    constexpr duration startPeriod = std::chrono::seconds(2);
+
     std::uint64_t drawSeed(std::uint64_t configured)
     {
         return configured ? configured : std::random_device {}();
@@ -31,6 +33,7 @@
     , m_seed(drawSeed(settings.seed))
     , m_incarnation(drawIncarnation())
     , m_upstreams(settings.connectTimeout, settings.usualIdleLimit)
+    , m_startedAt(presentInstant())
     , m_book(book_settings {})
     , m_core(settings.dispatch, settings.hostName, settings.dataCentre, settings.regions, m_seed)
 {
@@ -52,6 +55,7 @@
         m_plan = adopted;
     }
     withCore([&](dispatch_core& it) { it.adoptPlan(*adopted, presentInstant()); });
+    m_published.notify_all();
     m_metrics.add(event::ChangesApplied);
     if (m_onLimits)
         m_onLimits(adopted->limits);
@@ -91,7 +95,11 @@
 void proxy_runtime::publishDirectory(instant now)
 {
     withCore([&](dispatch_core& it) { it.adoptDirectory(m_book.directory(), now); });
-    m_hasDirectory = true;
+    {
+        const std::lock_guard lock(m_planMutex);
+        m_hasDirectory = true;
+    }
+    m_published.notify_all();
 }
 
 void proxy_runtime::adoptRoster(const host_roster& roster)
@@ -120,6 +128,19 @@
         m_announcer();
 }
 
+bool proxy_runtime::isStarting() const
+{
+    return presentInstant() - m_startedAt < startPeriod;
+}
+
+std::shared_ptr<const serving_plan> proxy_runtime::waitUntilReady(instant deadline)
+{
+    std::unique_lock lock(m_planMutex);
+    const auto left = std::max(duration::zero(), deadline - presentInstant());
+    m_published.wait_for(lock, left, [this] { return m_plan && m_hasDirectory; });
+    return m_plan;
+}
+
 bool proxy_runtime::isReady() const
 {
     return m_phase == stop_phase::Running && m_hasDirectory && plan();
--- a/Source/proxy_runtime.h
+++ b/Source/proxy_runtime.h
@@ -16,6 +16,7 @@
 #include "wire_names.h"
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -79,6 +80,14 @@
     // Called with the limits for guests of each new plan.
     void setLimitsHandler(std::function<void(const guest_limits&)> handler) { m_onLimits = std::move(handler); }
 
+    // Returns whether the process started a moment ago and can expect its first
+    // plan and upstreams soon.
+    bool isStarting() const;
+
+    // Waits for the first plan and upstreams. Returns the plan, or null if the
+    // deadline passed before.
+    std::shared_ptr<const serving_plan> waitUntilReady(instant deadline);
+
     // Returns whether guests may come: a plan and the upstreams are known, and no
     // stop has begun.
     bool isReady() const;
@@ -100,7 +109,10 @@
     std::uint64_t m_incarnation;
     metrics m_metrics;
     upstream_pool m_upstreams;
+    instant m_startedAt;
     mutable std::mutex m_planMutex;
+    // Signalled when a plan or a directory is published.
+    std::condition_variable m_published;
     std::shared_ptr<const serving_plan> m_plan;
     std::mutex m_feedMutex;
     upstream_book m_book;
--- a/Source/route_handler.cxx
+++ b/Source/route_handler.cxx
@@ -29,8 +29,16 @@
     // Part of the time left that an attempt of an idempotent request may take
     // before another upstream is tried.
     constexpr double attemptPart = 0.55;
-    // Connects that may fail before a request is given up.
-    constexpr std::size_t mostConnectFailures = 4;
+    // Upstreams that may be out of reach before a request is given up.
+    constexpr std::size_t mostConnectFailures = 6;
+    // Part of its time for which a request may wait for a host that has just
+    // started, and the longest such wait.
+    constexpr double startWaitPart = 0.33;
+    constexpr duration longestStartWait = std::chrono::milliseconds(500);
+
+    // Times for a new connection. A lost packet is sent again only after a second,
+    // and by then another upstream has answered.
+    constexpr std::array<duration, 3> connectTimeouts { std::chrono::milliseconds(50), std::chrono::milliseconds(70), std::chrono::milliseconds(150) };
 
     constexpr int successStatus = 200;
     constexpr int redirectStatus = 300;
@@ -72,7 +80,7 @@
     m_fate = m_exchange.request.getKeepAlive() && !isClosing ? connection_fate::Keep : connection_fate::Close;
 
     using step_function = step (route_handler::*)();
-    constexpr std::array<step_function, 6> steps { &route_handler::readBodyStart, &route_handler::findRoute, &route_handler::readDeadline,
+    constexpr std::array<step_function, 7> steps { &route_handler::waitForPlan, &route_handler::readBodyStart, &route_handler::findRoute, &route_handler::readDeadline,
         &route_handler::authorize, &route_handler::checkQuarantine, &route_handler::admit };
     const bool isAllowed = std::all_of(steps.begin(), steps.end(), [this](step_function function) { return (this->*function)() == step::Go; });
     if (isAllowed)
@@ -85,6 +93,18 @@
     return m_fate;
 }
 
+route_handler::step route_handler::waitForPlan()
+{
+    if (m_plan || !m_runtime.isStarting())
+        return step::Go;
+    double ms = 0;
+    duration wait = longestStartWait;
+    if (absl::SimpleAtod(m_exchange.request.get(m_runtime.wire().deadlineMs, ""), &ms) && ms > 0)
+        wait = std::min(wait, fromSeconds(ms / 1000 * startWaitPart));
+    m_plan = m_runtime.waitUntilReady(m_exchange.receivedAt + wait);
+    return step::Go;
+}
+
 route_handler::step route_handler::readBodyStart()
 {
     const auto& limits = m_plan ? m_plan->limits : guest_limits {};
@@ -246,7 +266,7 @@
         std::optional<directory_entry> chosen;
         const choice_result result = m_runtime.withCore([&](dispatch_core& it) {
             const bool mayFail = mayTryAfterNext() && it.hasRetry(m_service);
-            const choice_result choice = it.choose({ m_service, mayFail, &m_tried, m_limit - now }, now);
+            const choice_result choice = it.choose({ m_service, mayFail, &m_tried, m_limit - now, m_route->targetLatency }, now);
             if (choice.upstream)
                 chosen = *choice.upstream;
             return choice;
@@ -263,7 +283,7 @@
             break;
         }
         m_runtime.announce();
-        goesOn = attemptOnce(*chosen);
+        goesOn = attemptOnce(*chosen, result.tier);
         m_runtime.announce();
     }
     if (!m_isAnswered)
@@ -281,8 +301,9 @@
     return mayTryAfterNext() ? fromSeconds(toSeconds(left) * attemptPart) : left + lateAnswerTime;
 }
 
-bool route_handler::attemptOnce(const directory_entry& upstream)
+bool route_handler::attemptOnce(const directory_entry& upstream, distance_tier tier)
 {
+    m_outgoing.connectTimeout = connectTimeouts[static_cast<std::size_t>(tier)];
     m_tried.insert(upstream.id);
     const unsigned number = m_progress.beginAttempt(upstream.id);
     m_runtime.counters().add(event::AttemptsStarted);
--- a/Source/upstream_exchange.cxx
+++ b/Source/upstream_exchange.cxx
@@ -2,6 +2,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <optional>
 
 namespace almondmoor {
@@ -44,7 +45,10 @@
 
 exchange_end upstream_exchange::run(const outgoing_request& request, byte_stream& guest, instant deadline, duration bodyTimeout)
 {
-    auto acquired = m_pool.acquire(m_upstream, request.longestIdle, deadline);
+    instant connectDeadline = deadline;
+    if (request.connectTimeout > duration::zero())
+        connectDeadline = std::min(deadline, presentInstant() + request.connectTimeout);
+    auto acquired = m_pool.acquire(m_upstream, request.longestIdle, connectDeadline);
     if (!acquired.ok()) {
         m_detail = std::string(acquired.status().message());
         return exchange_end::ConnectFailed;
--- a/Source/upstream_exchange.h
+++ b/Source/upstream_exchange.h
@@ -53,6 +53,8 @@
     // Longest time for which a connection may have been idle before it is used;
     // zero asks for a new one.
     duration longestIdle {};
+    // Time for a new connection; zero leaves it to the pool.
+    duration connectTimeout {};
 };
 
 // The header with which an upstream says that it has not begun to run a request.
--- /dev/null
+++ b/Tests/Core/dispatch_core_test.cxx
@@ -0,0 +1,121 @@
+// Retry budgets, quarantine and what hosts tell each other.
+
+#include "Core/dispatch_core.h"
+
+#include <catch2/catch.hpp>
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr instant begin { std::chrono::hours(1) };
+    constexpr duration latency = std::chrono::milliseconds(100);
+
+    upstream_directory directoryOf(int count)
+    {
+        upstream_directory directory;
+        for (int index = 0; index < count; ++index) {
+            directory_entry it;
+            it.id = "u" + std::to_string(index);
+            it.service = "orders";
+            it.dataCentre = "d1";
+            it.slots = 3;
+            directory[it.id] = it;
+        }
+        return directory;
+    }
+
+    dispatch_core coreOf(const std::string& host, const std::string& dataCentre, const dispatch_settings& settings = {})
+    {
+        dispatch_core core(settings, host, dataCentre, {}, 1);
+        core.adoptDirectory(directoryOf(4), begin);
+        return core;
+    }
+
+} // namespace
+
+TEST_CASE("the fleet's retries stay within ratio and slack", "[dispatch]")
+{
+    dispatch_settings settings;
+    settings.retryRatio = 0.2;
+    settings.retrySlack = 62;
+    constexpr unsigned hosts = 44;
+    constexpr unsigned requestsPerHost = 40;
+    unsigned retries = 0;
+    for (unsigned host = 0; host < hosts; ++host) {
+        dispatch_core core = coreOf(std::to_string(host), "d1", settings);
+        core.setFleetSize(8, hosts);
+        for (unsigned index = 0; index < requestsPerHost; ++index) {
+            core.noteFirstAttempt("orders");
+            retries += core.takeRetry("orders") ? 1 : 0;
+        }
+    }
+    CHECK(retries <= settings.retryRatio * hosts * requestsPerHost + settings.retrySlack);
+    CHECK(retries >= settings.retryRatio * hosts * requestsPerHost * 0.8);
+}
+
+TEST_CASE("a request that crashes two upstreams is quarantined, in every data centre", "[dispatch]")
+{
+    constexpr std::uint64_t fingerprint = 77;
+    dispatch_core core = coreOf("a", "d1");
+    dispatch_core neighbour = coreOf("b", "d1");
+    dispatch_core far = coreOf("c", "d2");
+    core.finishAttempt({ "u0", work_result::Crashed, latency, fingerprint }, begin);
+    core.finishAttempt({ "u0", work_result::Crashed, latency, fingerprint }, begin);
+    CHECK_FALSE(core.isQuarantined(fingerprint, begin));
+    core.finishAttempt({ "u1", work_result::Crashed, latency, fingerprint }, begin);
+    CHECK(core.isQuarantined(fingerprint, begin));
+
+    const auto notice = core.takeNotice();
+    CHECK(notice.quarantined == std::vector<std::uint64_t> { fingerprint });
+    CHECK(core.takeNotice().isEmpty());
+    far.noteNotice(notice, begin);
+    CHECK(far.isQuarantined(fingerprint, begin));
+    // The host that was told passes it on.
+    CHECK(far.takeReport().quarantined == std::vector<std::uint64_t> { fingerprint });
+
+    neighbour_report report = core.takeReport();
+    report.incarnation = 1;
+    report.sequence = 1;
+    neighbour.noteReport(report, begin);
+    CHECK(neighbour.isQuarantined(fingerprint, begin));
+}
+
+TEST_CASE("the first sign of a failing upstream is told to other data centres once", "[dispatch]")
+{
+    dispatch_core core = coreOf("a", "d1");
+    core.finishAttempt({ "u0", work_result::Crashed, latency, 1 }, begin);
+    core.finishAttempt({ "u0", work_result::Crashed, latency, 2 }, begin);
+    const auto notice = core.takeNotice();
+    REQUIRE(notice.failures.size() == 1);
+    CHECK(notice.failures[0].upstream == "u0");
+    dispatch_core far = coreOf("c", "d2");
+    far.noteNotice(notice, begin);
+    CHECK(far.takeReport().samples.size() == 1);
+}
+
+TEST_CASE("reports that arrive out of order or from an earlier start are dropped", "[dispatch]")
+{
+    dispatch_core core = coreOf("a", "d1");
+    const auto report = [](std::uint64_t incarnation, std::uint64_t sequence, unsigned inFlight) {
+        neighbour_report it;
+        it.host = "b";
+        it.incarnation = incarnation;
+        it.sequence = sequence;
+        it.inFlight["u0"] = inFlight;
+        it.inFlight["u1"] = inFlight;
+        it.inFlight["u2"] = inFlight;
+        return it;
+    };
+    // With twelve in flight an upstream is full, so that only the last is left.
+    core.noteReport(report(2, 5, 12), begin);
+    core.noteReport(report(2, 4, 0), begin);
+    core.noteReport(report(1, 9, 0), begin);
+    for (int index = 0; index < 3; ++index) {
+        const auto result = core.choose({ "orders", false, nullptr, std::chrono::seconds(2), std::chrono::milliseconds(600) }, begin);
+        REQUIRE(result.upstream);
+        CHECK(result.upstream->id == "u3");
+    }
+}
+
+} // namespace almondmoor
--- /dev/null
+++ b/Tests/Proxy/route_test.cxx
@@ -0,0 +1,273 @@
+// What guests of a proxying host are told, and what upstreams run, step by step.
+
+#include "Proxy/proxy_fixture.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <array>
+#include <future>
+
+namespace almondmoor {
+
+namespace {
+
+    constexpr duration patience = std::chrono::seconds(10);
+
+    bool has(const std::string& text, const std::string& part)
+    {
+        return text.find(part) != std::string::npos;
+    }
+
+} // namespace
+
+TEST_CASE("a request is passed on with the host's own headers and without the key", "[proxy]")
+{
+    proxy_fixture host(1);
+    const std::string answer = host.post("/unsafe/7?x=1", "four", "Test-Deadline-Ms: 900\r\nTest-Team: forged\r\nTest-Expected: forged\r\nX-Other: kept\r\nConnection: X-Drop\r\nX-Drop: 1\r\n");
+    CHECK(statusOf(answer) == 200);
+    CHECK(headerOf(answer, "Test-Signature") == "signed");
+    CHECK(headerOf(answer, "Test-Id") == "g1");
+    const auto runs = host.upstream().runs();
+    REQUIRE(runs.size() == 1);
+    CHECK(runs[0].method == "POST");
+    CHECK(runs[0].target == "/unsafe/7?x=1");
+    CHECK(runs[0].body == "four");
+    CHECK(has(runs[0].head, "Test-Team: shop\r\n"));
+    CHECK(has(runs[0].head, "Test-Expected: u0\r\n"));
+    CHECK(has(runs[0].head, "Test-Id: g1\r\n"));
+    CHECK(has(runs[0].head, "X-Other: kept\r\n"));
+    CHECK_FALSE(has(runs[0].head, "forged"));
+    CHECK_FALSE(has(runs[0].head, "sesame"));
+    CHECK_FALSE(has(runs[0].head, "X-Drop"));
+    int left = 0;
+    REQUIRE(absl::SimpleAtoi(headerOf(runs[0].head, "Test-Deadline-Ms"), &left));
+    CHECK(left > 0);
+    CHECK(left < 900);
+}
+
+TEST_CASE("improper requests are refused and reach no upstream", "[proxy]")
+{
+    struct row {
+        const char* name;
+        std::string bytes;
+        int status;
+    };
+    const std::string host = "Host: a.example\r\n";
+    const std::string key = "Authorization: Key sesame\r\n";
+    const std::array<row, 14> rows { {
+        { "two credentials, the first good", absl::StrCat("GET /safe/1 HTTP/1.1\r\n", host, key, "Authorization: Key other\r\n\r\n"), 400 },
+        { "two credentials, the second good", absl::StrCat("GET /safe/1 HTTP/1.1\r\n", host, "Authorization: Key other\r\n", key, "\r\n"), 400 },
+        { "dot segments", absl::StrCat("GET /open/../safe/1 HTTP/1.1\r\n", host, "\r\n"), 400 },
+        { "encoded dot segments", absl::StrCat("GET /open/%2e%2e/safe/1 HTTP/1.1\r\n", host, "\r\n"), 400 },
+        { "encoded slash before dots", absl::StrCat("GET /open/x%2f..%2fsafe/1 HTTP/1.1\r\n", host, "\r\n"), 400 },
+        { "bare line feeds", "GET /open/1 HTTP/1.1\nHost: a.example\n\n", 400 },
+        { "one bare line feed", "GET /open/1 HTTP/1.1\r\nHost: a.example\nX: 1\r\n", 400 },
+        { "unknown host", absl::StrCat("GET /safe/1 HTTP/1.1\r\nHost: b.example\r\n", key, "\r\n"), 404 },
+        { "unknown path", absl::StrCat("GET /other/1 HTTP/1.1\r\n", host, key, "\r\n"), 404 },
+        { "no key", absl::StrCat("GET /safe/1 HTTP/1.1\r\n", host, "\r\n"), 401 },
+        { "unknown key", absl::StrCat("GET /safe/1 HTTP/1.1\r\n", host, "Authorization: Key other\r\n\r\n"), 401 },
+        { "other scheme", absl::StrCat("GET /safe/1 HTTP/1.1\r\n", host, "Authorization: Bearer sesame\r\n\r\n"), 401 },
+        { "key in the path", absl::StrCat("GET /safe/sesame HTTP/1.1\r\n", host, key, "\r\n"), 400 },
+        { "deadline that is no number", absl::StrCat("GET /safe/1 HTTP/1.1\r\n", host, key, "Test-Deadline-Ms: soon\r\n\r\n"), 400 },
+    } };
+    proxy_fixture it(1);
+    for (const row& expected : rows) {
+        INFO(expected.name);
+        raw_guest guest(it.guestAddress());
+        const instant begin = presentInstant();
+        CHECK(statusOf(guest.ask(expected.bytes)) == expected.status);
+        // Well before the limit for slow heads.
+        CHECK(presentInstant() - begin < std::chrono::seconds(1));
+    }
+    CHECK(it.receivedCount() == 0);
+    CHECK(statusOf(it.get("/open/1")) == 200);
+}
+
+TEST_CASE("a host without a plan refuses honestly, and serves once it has one", "[proxy]")
+{
+    proxy_fixture host(1, false);
+    CHECK_FALSE(host.runtime().isReady());
+    const std::string refused = host.get("/safe/1", "Test-Deadline-Ms: 90\r\n");
+    CHECK(statusOf(refused) == 503);
+    CHECK_FALSE(headerOf(refused, "Retry-After").empty());
+
+    // One that comes while the host starts waits for the first plan.
+    auto waiting = std::async(std::launch::async, [&host] { return host.get("/safe/1", "Test-Deadline-Ms: 1500\r\n"); });
+    host.runtime().adoptPlan(proxy_fixture::plan(1));
+    host.publishUpstreams();
+    CHECK(statusOf(waiting.get()) == 200);
+    CHECK(host.runtime().isReady());
+}
+
+TEST_CASE("each failure of an upstream has a true outcome, and only idempotent requests run again", "[proxy]")
+{
+    struct row {
+        const char* name;
+        upstream_behaviour first;
+        int safeStatus;
+        int unsafeStatus;
+        // Requests that upstreams received of an unsafe one.
+        std::size_t unsafeReceived;
+    };
+    upstream_behaviour lostBefore;
+    lostBefore.crashesBeforeRun = true;
+    upstream_behaviour lostAfter;
+    lostAfter.crashesAfterRun = true;
+    upstream_behaviour notStarted;
+    notStarted.refusesToStart = true;
+    upstream_behaviour error;
+    error.status = 500;
+    upstream_behaviour cut;
+    cut.cutsAnswer = true;
+    cut.bodyBytes = 100;
+    upstream_behaviour garbage;
+    garbage.rawAnswer = "no answer in the protocol\r\n\r\n";
+    upstream_behaviour cutWithoutLength;
+    cutWithoutLength.rawAnswer = "HTTP/1.1 200 OK\r\nTest-Id: g1\r\nTest-Signature: signed\r\n\r\nhalf of";
+    cutWithoutLength.resetsAfterRawAnswer = true;
+    upstream_behaviour misdirected;
+    misdirected.rawAnswer = "HTTP/1.1 421 Misdirected Request\r\nTest-Id: g1\r\nContent-Length: 0\r\n\r\n";
+    const std::array<row, 8> rows { {
+        { "lost before the run", lostBefore, 200, 502, 1 },
+        { "lost after the run", lostAfter, 200, 502, 1 },
+        { "not started", notStarted, 200, 200, 2 },
+        { "error", error, 200, 500, 1 },
+        { "answer cut", cut, 200, 502, 1 },
+        { "garbage", garbage, 200, 502, 1 },
+        { "answer without length reset", cutWithoutLength, 200, 502, 1 },
+        { "another upstream at the address", misdirected, 200, 200, 2 },
+    } };
+    for (const row& expected : rows) {
+        for (const bool isSafe : { true, false }) {
+            INFO(expected.name << (isSafe ? ", safe" : ", unsafe"));
+            proxy_fixture host(2);
+            // Whichever upstream is asked first misbehaves; the other is sound.
+            const bool usesFirst = statusOf(host.get("/safe/probe")) == 200 && host.upstream(0).receivedCount() == 1;
+            const unsigned bad = usesFirst ? 1 : 0;
+            host.upstream(bad).setBehaviour(proxy_fixture::sound(expected.first));
+            const std::size_t before = host.receivedCount();
+            const std::string answer = isSafe ? host.get("/safe/1") : host.post("/unsafe/1", "body");
+            CHECK(statusOf(answer) == (isSafe ? expected.safeStatus : expected.unsafeStatus));
+            const std::size_t received = host.receivedCount() - before;
+            CHECK(received == (isSafe ? 2 : expected.unsafeReceived));
+            if (statusOf(answer) == 200)
+                CHECK(headerOf(answer, "Test-Signature") == "signed");
+        }
+    }
+}
+
+TEST_CASE("a success without the upstream's signature is not passed on", "[proxy]")
+{
+    proxy_fixture host(1);
+    host.upstream().setBehaviour({});
+    CHECK(statusOf(host.post("/unsafe/1", "body")) == 502);
+}
+
+TEST_CASE("a late answer to another request is dropped", "[proxy]")
+{
+    proxy_fixture host(1);
+    upstream_behaviour extra;
+    extra.bytesBeforeAnswer = "HTTP/1.1 200 OK\r\nTest-Id: older\r\nTest-Signature: forged\r\nContent-Length: 5\r\n\r\nother";
+    host.setBehaviour(extra);
+    const std::string answer = host.get("/safe/1");
+    CHECK(statusOf(answer) == 200);
+    CHECK(headerOf(answer, "Test-Id") == "g1");
+    CHECK(headerOf(answer, "Test-Signature") == "signed");
+    CHECK_FALSE(has(answer, "other"));
+}
+
+TEST_CASE("an answer without a length is whole when its connection ends in order", "[proxy]")
+{
+    proxy_fixture host(1);
+    upstream_behaviour unframed;
+    unframed.rawAnswer = "HTTP/1.1 200 OK\r\nTest-Id: g1\r\nTest-Signature: signed\r\n\r\nall of it";
+    host.setBehaviour(unframed);
+    const std::string answer = host.post("/unsafe/1", "body");
+    CHECK(statusOf(answer) == 200);
+    CHECK(headerOf(answer, "Content-Length") == "9");
+    CHECK(has(answer, "all of it"));
+}
+
+TEST_CASE("no more upstreams are tried than the route allows", "[proxy]")
+{
+    proxy_fixture host(3);
+    upstream_behaviour crash;
+    crash.crashesBeforeRun = true;
+    host.setBehaviour(crash);
+    CHECK(statusOf(host.get("/safe/1")) == 502);
+    CHECK(host.receivedCount() == 2);
+}
+
+TEST_CASE("a route's timeout ends the wait with a final answer", "[proxy]")
+{
+    proxy_fixture host(1);
+    host.upstream().hold(true);
+    const instant begin = presentInstant();
+    const std::string answer = host.post("/unsafe/1", "body", "Test-Deadline-Ms: 400\r\n");
+    CHECK(statusOf(answer) == 504);
+    CHECK(presentInstant() - begin >= std::chrono::milliseconds(400));
+    CHECK(presentInstant() - begin < std::chrono::milliseconds(900));
+}
+
+TEST_CASE("work is broken off when its guest leaves", "[proxy]")
+{
+    proxy_fixture host(1);
+    host.upstream().hold(true);
+    {
+        raw_guest guest(host.guestAddress());
+        guest.send("GET /safe/1 HTTP/1.1\r\nHost: a.example\r\nAuthorization: Key sesame\r\nTest-Id: g1\r\n\r\n");
+        REQUIRE(host.upstream().waitForReceived(1, patience));
+    }
+    const instant deadline = presentInstant() + std::chrono::milliseconds(500);
+    while (host.runtime().counters().value(event::GuestsGone) == 0 && presentInstant() < deadline)
+        std::this_thread::yield();
+    CHECK(host.runtime().counters().value(event::GuestsGone) == 1);
+}
+
+TEST_CASE("a team beyond its rate is told when to come back", "[proxy]")
+{
+    proxy_fixture host(1);
+    serving_plan plan = proxy_fixture::plan(2);
+    plan.teams["shop"].ratePerSecond = 2;
+    plan.teams["shop"].burst = 1;
+    host.runtime().adoptPlan(plan);
+    std::string answer;
+    for (int index = 0; index < 3; ++index)
+        answer = host.get("/safe/1");
+    CHECK(statusOf(answer) == 429);
+    double seconds = 0;
+    REQUIRE(absl::SimpleAtod(headerOf(answer, "Retry-After"), &seconds));
+    CHECK(seconds > 0);
+    CHECK(seconds <= 0.5);
+}
+
+TEST_CASE("plans never go back", "[proxy]")
+{
+    proxy_fixture host(1);
+    serving_plan later = proxy_fixture::plan(5);
+    later.teamByKey.clear();
+    host.runtime().adoptPlan(later);
+    host.runtime().adoptPlan(proxy_fixture::plan(4));
+    CHECK(host.runtime().plan()->version == 5);
+    CHECK(statusOf(host.get("/safe/1")) == 401);
+}
+
+TEST_CASE("a host that stops leaves the rotation, then moves guests, then refuses", "[proxy]")
+{
+    proxy_fixture host(1);
+    host.runtime().setPhase(stop_phase::Notice);
+    CHECK_FALSE(host.runtime().isReady());
+    CHECK(headerOf(host.get("/safe/1"), "Connection") == "keep-alive");
+    host.runtime().setPhase(stop_phase::Closing);
+    const std::string moved = host.get("/safe/1");
+    CHECK(statusOf(moved) == 200);
+    CHECK(headerOf(moved, "Connection") == "close");
+    host.runtime().setPhase(stop_phase::Ending);
+    const std::string refused = host.post("/unsafe/1", "body");
+    CHECK(statusOf(refused) == 503);
+    CHECK(headerOf(refused, "Connection") == "close");
+    CHECK(host.receivedCount() == 2);
+}
+
+} // namespace almondmoor
--- a/Tests/Serve/host_fixture.cxx
+++ b/Tests/Serve/host_fixture.cxx
@@ -18,13 +18,13 @@
         return firstPort + static_cast<unsigned>(getpid()) % portBlocks * portsPerProcess;
     }
 
-    std::string local(unsigned offset)
-    {
-        return absl::StrCat("127.0.0.1:", portBase() + offset);
-    }
-
 } // namespace
 
+std::string localAddress(unsigned offset)
+{
+    return absl::StrCat("127.0.0.1:", portBase() + offset);
+}
+
 raw_guest::raw_guest(const std::string& address)
 {
     Poco::Net::StreamSocket socket;
@@ -72,9 +72,9 @@
 {
     m_settings.hostName = "host-1";
     m_settings.dataCentre = "local-1";
-    m_settings.guestAddress = local(0);
-    m_settings.operatorAddress = local(1);
-    m_settings.peerAddress = local(2);
+    m_settings.guestAddress = localAddress(0);
+    m_settings.operatorAddress = localAddress(1);
+    m_settings.peerAddress = localAddress(2);
     m_settings.operatorKey = "operator-secret";
     m_settings.guestWorkers = 64;
     m_settings.guestConnections = 4096;
@@ -134,7 +134,7 @@
 
 std::string host_fixture::upstreamAddress(unsigned index) const
 {
-    return local(10 + index);
+    return localAddress(10 + index);
 }
 
 std::string host_fixture::command(const std::string& line)
--- a/Tests/Serve/host_fixture.h
+++ b/Tests/Serve/host_fixture.h
@@ -15,6 +15,9 @@
 
 namespace almondmoor {
 
+// Returns an address of this machine whose port follows from the process id.
+std::string localAddress(unsigned offset);
+
 // A guest's connection that sends and receives bytes as they are.
 class raw_guest {
 public:
--- a/Tests/StandIns/stand_in_upstream.cxx
+++ b/Tests/StandIns/stand_in_upstream.cxx
@@ -104,7 +104,7 @@
     if (behaviour.crashesBeforeRun)
         return connection_fate::Abort;
     if (behaviour.refusesToStart || behaviour.shedsLoad) {
-        const std::string header = behaviour.refusesToStart ? "Request-Not-Started: yes" : "Retry-After: 1";
+        const std::string header = behaviour.refusesToStart ? behaviour.notStartedLine : "Retry-After: 1";
         (void)exchange.stream.send(absl::StrCat("HTTP/1.1 503 Busy\r\n", header, "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"), presentInstant() + patience);
         return connection_fate::Close;
     }
@@ -128,7 +128,7 @@
         return connection_fate::Abort;
     if (!behaviour.rawAnswer.empty()) {
         (void)exchange.stream.send(behaviour.rawAnswer, presentInstant() + patience);
-        return connection_fate::Close;
+        return behaviour.resetsAfterRawAnswer ? connection_fate::Abort : connection_fate::Close;
     }
     return answer(exchange, behaviour);
 }
@@ -136,8 +136,11 @@
 connection_fate stand_in_upstream::answer(http_exchange& exchange, const upstream_behaviour& behaviour)
 {
     const std::string framing = behaviour.isChunked ? "Transfer-Encoding: chunked" : absl::StrCat("Content-Length: ", behaviour.bodyBytes);
-    const std::string head = absl::StrCat("HTTP/1.1 ", behaviour.status, " Said\r\nContent-Type: text/plain\r\nFor: ",
-        exchange.request.get("Guest-Number", "-"), "\r\n", framing, "\r\n\r\n");
+    std::string extra = behaviour.extraHeaders;
+    if (!behaviour.echoedHeader.empty())
+        absl::StrAppend(&extra, behaviour.echoedHeader, ": ", exchange.request.get(behaviour.echoedHeader, "-"), "\r\n");
+    const std::string head = absl::StrCat(behaviour.bytesBeforeAnswer, "HTTP/1.1 ", behaviour.status, " Said\r\nContent-Type: text/plain\r\nFor: ",
+        exchange.request.get("Guest-Number", "-"), "\r\n", extra, framing, "\r\n\r\n");
     if (!exchange.stream.send(head, presentInstant() + patience).ok())
         return connection_fate::Close;
     const std::uint64_t cutAt = behaviour.cutsAnswer ? behaviour.bodyBytes / 2 : behaviour.bodyBytes;
--- a/Tests/StandIns/stand_in_upstream.h
+++ b/Tests/StandIns/stand_in_upstream.h
@@ -32,6 +32,16 @@
     bool shedsLoad = false;
     // Text sent instead of any answer, when it is not empty.
     std::string rawAnswer;
+    // Resets the connection after the raw answer.
+    bool resetsAfterRawAnswer = false;
+    // Sent with each answer, such as a signature.
+    std::string extraHeaders;
+    // Name of a header of the request that each answer repeats, or empty.
+    std::string echoedHeader;
+    // Sent on the connection right before the answer.
+    std::string bytesBeforeAnswer;
+    // Header line of refusals to start.
+    std::string notStartedLine = "Request-Not-Started: yes";
 };
 
 // One request that the upstream has run.
