--- a/Source/Core/dispatch_core.h
+++ b/Source/Core/dispatch_core.h
@@ -56,6 +56,7 @@
 
     bool takeToken(const std::string& team, instant now) { return m_quota.take(team, now); }
     void putBackToken(const std::string& team) { m_quota.putBack(team); }
+    bool isScarce(const std::string& team) const { return m_quota.isScarce(team); }
     duration nextTokenIn(const std::string& team, instant now) const { return m_quota.nextTokenIn(team, now); }
 
     // Returns a number in [0, 1).
--- a/Source/Core/team_quota.cxx
+++ b/Source/Core/team_quota.cxx
@@ -91,6 +91,12 @@
     it.level = std::max(-depthOf(it), it.level - count);
 }
 
+bool team_quota::isScarce(const std::string& team) const
+{
+    const auto found = m_rows.find(team);
+    return found != m_rows.end() && found->second.ratePerSecond > 0 && found->second.level < depthOf(found->second) / 2;
+}
+
 duration team_quota::nextTokenIn(const std::string& team, instant) const
 {
     const auto found = m_rows.find(team);
--- a/Source/Core/team_quota.h
+++ b/Source/Core/team_quota.h
@@ -54,6 +54,9 @@
     // Takes off what a neighbour has admitted.
     void noteRemote(const std::string& team, double count, instant now);
 
+    // Returns whether less than half of the team's part is left.
+    bool isScarce(const std::string& team) const;
+
     // Returns when the next token is expected.
     duration nextTokenIn(const std::string& team, instant now) const;
 
--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -127,6 +127,7 @@
         result.roomIn = isAnyKnown ? fromSeconds(shortestWait) : duration::zero();
         return result;
     }
+    result.isBusy = 2 * (best->ownInFlight + best->peersInFlight) >= best->entry.slots;
     ++best->ownInFlight;
     best->usedAt = now;
     result.upstream = &best->entry;
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -141,6 +141,8 @@
     const directory_entry* upstream = nullptr;
     distance_tier tier = distance_tier::SameDataCentre;
     choice_refusal refusal = choice_refusal::NoUpstream;
+    // Whether half of the upstream's slots or more were taken before.
+    bool isBusy = false;
     // For refusals: when room is expected.
     duration roomIn {};
 };
--- a/Source/http_listener.cxx
+++ b/Source/http_listener.cxx
@@ -12,7 +12,6 @@
 namespace {
 
     constexpr int backlog = 1024;
-    constexpr duration pollInterval = std::chrono::milliseconds(100);
     constexpr duration refusalTimeout = std::chrono::milliseconds(200);
     constexpr duration expiryInterval = std::chrono::milliseconds(100);
 
@@ -55,7 +54,7 @@
 void http_listener::poll()
 {
     while (!m_isStopping) {
-        const auto ready = m_pollSet.poll(Poco::Timespan(pollInterval.count()));
+        const auto ready = m_pollSet.poll(Poco::Timespan(m_settings.pollInterval.count()));
         for (const auto& [socket, mode] : ready) {
             if (socket == m_socket) {
                 if (m_isAccepting)
--- a/Source/http_listener.h
+++ b/Source/http_listener.h
@@ -28,6 +28,8 @@
     unsigned connections = 1;
     duration headTimeout {};
     duration idleTimeout {};
+    // How late limits and the end of accepting may be noticed.
+    duration pollInterval = std::chrono::milliseconds(100);
 };
 
 // A request whose head has arrived and is free of ambiguity.
--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -16,8 +16,10 @@
     constexpr std::size_t largestDatagram = 65507;
     // Reports are not sent more often than this.
     constexpr duration leastInterval = std::chrono::milliseconds(4);
+    // News that is not urgent waits about this long for the next wake-up.
+    constexpr duration newsInterval = std::chrono::milliseconds(60);
     // A report goes out at least this often.
-    constexpr duration heartbeatInterval = std::chrono::milliseconds(500);
+    constexpr duration heartbeatInterval = std::chrono::milliseconds(700);
     constexpr duration tickInterval = std::chrono::milliseconds(250);
 
 } // namespace
@@ -56,9 +58,10 @@
     send();
 }
 
-void neighbour_link::announce()
+void neighbour_link::announce(bool isUrgent)
 {
-    if (presentInstant() - m_sentAt.load() >= leastInterval)
+    m_hasNews = true;
+    if (isUrgent && presentInstant() - m_sentAt.load() >= leastInterval)
         send();
 }
 
@@ -74,7 +77,8 @@
             tickedAt = now;
             m_runtime.tick();
         }
-        if (now - m_sentAt.load() >= heartbeatInterval)
+        const duration sinceSent = now - m_sentAt.load();
+        if (sinceSent >= heartbeatInterval || (m_hasNews && sinceSent >= newsInterval))
             send();
     }
 }
@@ -105,7 +109,7 @@
     if (report->dataCentre != m_runtime.settings().dataCentre) {
         const dispatch_core::notice notice { report->samples, report->quarantined };
         m_runtime.withCore([&](dispatch_core& it) { it.noteNotice(notice, now); });
-        announce();
+        announce(true);
         return;
     }
     m_runtime.withCore([&](dispatch_core& it) { it.noteReport(*report, now); });
@@ -127,6 +131,7 @@
 void neighbour_link::send()
 {
     m_sentAt = presentInstant();
+    m_hasNews = false;
     const auto& settings = m_runtime.settings();
     const std::lock_guard lock(m_mutex);
     dispatch_core::notice notice;
--- a/Source/neighbour_link.h
+++ b/Source/neighbour_link.h
@@ -35,8 +35,9 @@
     // Follows the roster. Hosts that were heard but do not stand in it stay.
     void adoptRoster(const host_roster&);
 
-    // Sends a report, unless one went out a moment ago.
-    void announce();
+    // Sends a report at once if the change is urgent and none went out a moment
+    // ago, and otherwise soon.
+    void announce(bool isUrgent);
 
 private:
     void run();
@@ -56,6 +57,7 @@
     std::uint64_t m_sequence = 0;
     std::mt19937_64 m_random;
     std::atomic<instant> m_sentAt { longAgo };
+    std::atomic<bool> m_hasNews { false };
     std::atomic<bool> m_isStopping { false };
     std::thread m_thread;
 };
--- a/Source/proxy_command.cxx
+++ b/Source/proxy_command.cxx
@@ -20,6 +20,8 @@
     constexpr unsigned checkConnections = 64;
     constexpr duration checkHeadTimeout = std::chrono::seconds(2);
     constexpr duration checkIdleTimeout = std::chrono::seconds(60);
+    // Idle hosts should not wake up often.
+    constexpr duration pollInterval = std::chrono::milliseconds(500);
     constexpr duration replyTimeout = std::chrono::seconds(1);
     // After this time from the signal a new request might not end in time.
     constexpr duration lastAdmission = std::chrono::milliseconds(2900);
@@ -117,12 +119,12 @@
 
     proxy_runtime runtime(settings, adapter.wire);
     neighbour_link link(runtime);
-    http_listener guests({ settings.guestAddress, settings.guestWorkers, settings.guestConnections, settings.headTimeout, settings.idleTimeout },
+    http_listener guests({ settings.guestAddress, settings.guestWorkers, settings.guestConnections, settings.headTimeout, settings.idleTimeout, pollInterval },
         [&runtime](http_exchange& exchange) { return route_handler(runtime, exchange).serve(); }, guestEvents(runtime));
     const auto serveChecks = [&runtime](http_exchange& exchange) { return serveCheck(runtime, exchange); };
-    http_listener readiness({ settings.readinessAddress, checkWorkers, checkConnections, checkHeadTimeout, checkIdleTimeout }, serveChecks, { [] {}, [] {}, [](bool) {} });
-    http_listener metricsPort({ settings.metricsAddress, checkWorkers, checkConnections, checkHeadTimeout, checkIdleTimeout }, serveChecks, { [] {}, [] {}, [](bool) {} });
-    runtime.setAnnouncer([&link] { link.announce(); });
+    http_listener readiness({ settings.readinessAddress, checkWorkers, checkConnections, checkHeadTimeout, checkIdleTimeout, pollInterval }, serveChecks, { [] {}, [] {}, [](bool) {} });
+    http_listener metricsPort({ settings.metricsAddress, checkWorkers, checkConnections, checkHeadTimeout, checkIdleTimeout, pollInterval }, serveChecks, { [] {}, [] {}, [](bool) {} });
+    runtime.setAnnouncer([&link](bool isUrgent) { link.announce(isUrgent); });
     runtime.setLimitsHandler([&guests](const guest_limits& limits) { guests.setLimits(limits.largestHead, limits.headTimeout, limits.idleTimeout); });
     std::shared_ptr<void> feeds;
     try {
--- a/Source/proxy_runtime.cxx
+++ b/Source/proxy_runtime.cxx
@@ -122,10 +122,10 @@
     m_upstreams.closeIdle();
 }
 
-void proxy_runtime::announce() const
+void proxy_runtime::announce(bool isUrgent) const
 {
     if (m_announcer)
-        m_announcer();
+        m_announcer(isUrgent);
 }
 
 bool proxy_runtime::isStarting() const
--- a/Source/route_handler.h
+++ b/Source/route_handler.h
@@ -91,6 +91,8 @@
     // What became of each attempt, for the log.
     std::string m_story;
     duration m_upstreamTime {};
+    // Whether neighbours should hear of this request at once.
+    bool m_isUrgent = false;
     connection_fate m_fate = connection_fate::Keep;
     bool m_isAnswered = false;
 };
