Choice: Touch each candidate once; tests of processes, logs and the store

Change: rows are reached by pointer, a report changes only what it names, a whole reading is one line.

--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -50,7 +50,7 @@
         }
         it.entry = entry;
         it.tier = tierOf(entry.dataCentre);
-        m_byService[entry.service].push_back(id);
+        m_byService[entry.service].push_back(&it);
     }
     countPeers();
 }
@@ -101,9 +101,9 @@
     row* best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
     double shortestWait = std::numeric_limits<double>::infinity();
-    for (const std::string& id : found->second) {
-        row& it = m_rows.at(id);
-        if (it.entry.isLeaving || (question.tried && question.tried->count(id)))
+    for (row* candidate : found->second) {
+        row& it = *candidate;
+        if (it.entry.isLeaving || (question.tried && question.tried->count(it.entry.id)))
             continue;
         age(it, now);
         const double latency = it.slowness * usual;
@@ -127,7 +127,9 @@
         result.roomIn = isAnyKnown ? fromSeconds(shortestWait) : duration::zero();
         return result;
     }
-    result.isBusy = 2 * (best->ownInFlight + best->peersInFlight) >= best->entry.slots;
+    result.inFlight = best->ownInFlight + best->peersInFlight;
+    result.isBusy = 2 * result.inFlight >= best->entry.slots;
+    result.failing = best->failing;
     ++best->ownInFlight;
     best->usedAt = now;
     result.upstream = &best->entry;
@@ -231,8 +233,11 @@
 {
     peer_row& peer = m_peers[host];
     peer.heardAt = now;
+    if (peer.counts == counts)
+        return;
+    countPeer(peer, -1);
     peer.counts = counts;
-    countPeers();
+    countPeer(peer, 1);
 }
 
 void upstream_choice::forgetSilentPeers(instant now)
@@ -242,17 +247,21 @@
         countPeers();
 }
 
+void upstream_choice::countPeer(const peer_row& peer, int sign)
+{
+    for (const auto& [id, count] : peer.counts) {
+        const auto found = m_rows.find(id);
+        if (found != m_rows.end())
+            found->second.peersInFlight += static_cast<unsigned>(sign) * count;
+    }
+}
+
 void upstream_choice::countPeers()
 {
     for (auto& [id, it] : m_rows)
         it.peersInFlight = 0;
-    for (const auto& [host, peer] : m_peers) {
-        for (const auto& [id, count] : peer.counts) {
-            const auto found = m_rows.find(id);
-            if (found != m_rows.end())
-                found->second.peersInFlight += count;
-        }
-    }
+    for (const auto& [host, peer] : m_peers)
+        countPeer(peer, 1);
 }
 
 std::map<std::string, unsigned> upstream_choice::ownInFlight() const
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -40,6 +40,12 @@
     OtherRegion
 };
 
+inline constexpr name_table<distance_tier, 3> distanceTierNames { {
+    { distance_tier::SameDataCentre, "near" },
+    { distance_tier::SameRegion, "region" },
+    { distance_tier::OtherRegion, "far" },
+} };
+
 // An upstream as service discovery describes it.
 struct directory_entry {
     // Names one start of the upstream's process.
@@ -141,8 +147,11 @@
     const directory_entry* upstream = nullptr;
     distance_tier tier = distance_tier::SameDataCentre;
     choice_refusal refusal = choice_refusal::NoUpstream;
-    // Whether half of the upstream's slots or more were taken before.
+    // What was known of the upstream: whether half of its slots or more were
+    // taken, requests in flight there, and its probability of failing.
     bool isBusy = false;
+    unsigned inFlight = 0;
+    double failing = 0;
     // For refusals: when room is expected.
     duration roomIn {};
 };
@@ -191,6 +200,7 @@
         directory_entry entry;
         distance_tier tier = distance_tier::SameDataCentre;
         unsigned ownInFlight = 0;
+        // Invariant: the sum of what all peers have in flight there.
         unsigned peersInFlight = 0;
         // Probability that it is failing, as of an instant.
         double failing = 0;
@@ -223,6 +233,8 @@
     double waitAt(const row&, double latency) const;
     double costOf(const row&, const choice_question&, double latency, instant now) const;
     void forgetSilentPeers(instant now);
+    // Adds what a peer has in flight to the rows, or takes it off.
+    void countPeer(const peer_row&, int sign);
     void countPeers();
     distance_tier tierOf(const std::string& dataCentre) const;
 
@@ -230,7 +242,8 @@
     std::string m_dataCentre;
     region_map m_regions;
     std::map<std::string, row> m_rows;
-    std::map<std::string, std::vector<std::string>> m_byService;
+    // Rows of each service; they point into m_rows, whose rows never move.
+    std::map<std::string, std::vector<row*>> m_byService;
     // Average latency in seconds by service.
     std::map<std::string, double> m_serviceLatency;
     std::map<std::string, peer_row> m_peers;
--- a/Source/http_listener.cxx
+++ b/Source/http_listener.cxx
@@ -74,7 +74,7 @@
         closeExpired();
         if (m_isClosing && !m_hasClosedIdle) {
             m_hasClosedIdle = true;
-            dropIdle();
+            dropIdle(true);
         }
         closeIdle();
     }
@@ -190,6 +190,7 @@
         return;
     }
     it->waitingSince = presentInstant();
+    it->hasServed = true;
     // A pipelined request may be here already and raises no further event.
     if (!dispatchIfComplete(it))
         park(it);
@@ -231,16 +232,17 @@
     m_isListening = false;
     m_pollSet.remove(m_socket);
     m_socket.close();
-    dropIdle();
+    dropIdle(false);
 }
 
-void http_listener::dropIdle()
+void http_listener::dropIdle(bool keepsNew)
 {
     std::vector<std::shared_ptr<connection>> idle;
     {
         const std::lock_guard lock(m_mutex);
         for (const auto& [socket, it] : m_parked) {
-            if (it->stream.buffered().empty())
+            const bool isNew = keepsNew && !it->hasServed;
+            if (!isNew && it->stream.buffered().empty() && (!keepsNew || it->stream.isIdleAndOpen()))
                 idle.push_back(it);
         }
     }
--- a/Source/http_listener.h
+++ b/Source/http_listener.h
@@ -95,6 +95,8 @@
         }
         byte_stream stream;
         instant waitingSince = longAgo;
+        // Whether it has carried an exchange; one that has not is about to.
+        bool hasServed = false;
     };
 
     void poll();
@@ -108,8 +110,9 @@
     void park(const std::shared_ptr<connection>&);
     void drop(const std::shared_ptr<connection>&);
     void closeExpired();
-    // Closes the connections on which nothing was received.
-    void dropIdle();
+    // Closes the connections that have carried an exchange and on which nothing
+    // has arrived since. The others, if they are to be kept, get an answer first.
+    void dropIdle(bool keepsNew);
     // Closes the port and idle connections once accepting has ended.
     void closeIdle();
 
--- a/Source/main.cxx
+++ b/Source/main.cxx
@@ -2,6 +2,7 @@
 
 #include "adapter.h"
 #include "ctl_command.h"
+#include "explain_command.h"
 #include "load_command.h"
 #include "serve_command.h"
 #include "settings.h"
@@ -20,6 +21,7 @@
                  "almondmoor proxy [SETTINGS]            run one entry host on the users' platform\n"
                  "almondmoor ctl [SETTINGS] [COMMAND]    send a command, or a session from standard input\n"
                  "almondmoor load [SETTINGS]             send requests at a fixed rate and report\n"
+                 "almondmoor explain ID [FILE ...]       tell one request's story from log lines\n"
                  "almondmoor help                        show this text\n"
                  "almondmoor --version                   show the version\n\n"
                  "Each setting is also an environment variable: --host_name is ALMONDMOOR_HOST_NAME.\n"
@@ -43,11 +45,12 @@
     int (*run)(int, char**);
 };
 
-constexpr std::array<command_row, 7> commands { {
+constexpr std::array<command_row, 8> commands { {
     { "serve", almondmoor::runServe },
     { "proxy", runProxyOnPlatform },
     { "ctl", almondmoor::runCtl },
     { "load", almondmoor::runLoad },
+    { "explain", almondmoor::runExplain },
     { "help", runHelp },
     { "--help", runHelp },
     { "--version", runVersion },
--- a/Source/proxy_runtime.cxx
+++ b/Source/proxy_runtime.cxx
@@ -84,11 +84,14 @@
             continue;
         }
         const directory_entry& entry = statement->entry;
-        if (m_book.state(*statement))
+        // A whole reading is one event; single changes are told one by one.
+        if (m_book.state(*statement) && !update.isWhole)
             logInfo(absl::StrCat("event=upstream upstream=", row.key, " version=", row.version, " service=", entry.service, " address=", entry.address, " zone=", entry.dataCentre, " leaving=", entry.isLeaving ? "yes" : "no"));
     }
-    if (update.isWhole)
+    if (update.isWhole) {
         m_book.keepOnly(present, now);
+        logInfo(absl::StrCat("event=upstreams count=", m_book.directory().size(), " version=", update.version));
+    }
     publishDirectory(now);
 }
 
--- a/Source/route_handler.cxx
+++ b/Source/route_handler.cxx
@@ -285,7 +285,7 @@
         }
         m_isUrgent = m_isUrgent || result.isBusy;
         m_runtime.announce(m_isUrgent);
-        goesOn = attemptOnce(*chosen, result.tier);
+        goesOn = attemptOnce(*chosen, result);
         m_runtime.announce(m_isUrgent);
     }
     if (!m_isAnswered)
@@ -303,9 +303,9 @@
     return mayTryAfterNext() ? fromSeconds(toSeconds(left) * attemptPart) : left + lateAnswerTime;
 }
 
-bool route_handler::attemptOnce(const directory_entry& upstream, distance_tier tier)
+bool route_handler::attemptOnce(const directory_entry& upstream, const choice_result& choice)
 {
-    m_outgoing.connectTimeout = connectTimeouts[static_cast<std::size_t>(tier)];
+    m_outgoing.connectTimeout = connectTimeouts[static_cast<std::size_t>(choice.tier)];
     m_tried.insert(upstream.id);
     const unsigned number = m_progress.beginAttempt(upstream.id);
     m_runtime.counters().add(event::AttemptsStarted);
@@ -342,7 +342,8 @@
     m_upstreamTime += waited;
     m_lastDetail = exchange.detail();
     absl::StrAppend(&m_story, m_story.empty() ? "" : ",", upstream.id, ":", std::string(nameIn(exchangeEndNames, end)), ":", wholeMs(waited), "ms",
-        exchange.isOnKeptConnection() ? ":kept" : "");
+        exchange.isOnKeptConnection() ? ":kept" : ":new", ":", std::string(nameIn(distanceTierNames, choice.tier)), ":inflight=", choice.inFlight,
+        absl::StrFormat(":failing=%.2f", choice.failing));
     if (isStopped) {
         m_runtime.withCore([&](dispatch_core& it) { it.release(upstream.id); });
         m_progress.markNotStarted(number, false);
--- a/Source/route_handler.h
+++ b/Source/route_handler.h
@@ -41,7 +41,7 @@
     void attemptUntilDone();
 
     // Makes one attempt. Returns true if another one should be made.
-    bool attemptOnce(const directory_entry&, distance_tier);
+    bool attemptOnce(const directory_entry&, const choice_result&);
     bool handleAnswer(const directory_entry&, unsigned number, upstream_exchange&);
     bool handleLoss(exchange_end);
     std::optional<work_result> resultOf(exchange_end, const upstream_exchange&, duration waited) const;
--- a/Tests/Adapter/store_client_test.cxx
+++ b/Tests/Adapter/store_client_test.cxx
@@ -14,7 +14,7 @@
 namespace {
 
     constexpr duration timeout = std::chrono::milliseconds(300);
-    constexpr unsigned firstPort = 41'000;
+    constexpr unsigned firstPort = 12'000;
     constexpr unsigned ports = 2'000;
 
     std::string address()
--- a/Tests/Serve/docs_test.cxx
+++ b/Tests/Serve/docs_test.cxx
@@ -35,9 +35,9 @@
         mustName(text, absl::StrCat("--", row.flag));
 }
 
-TEST_CASE("each counter, reason and state stands in docs/OPERATING.md", "[docs]")
+TEST_CASE("each counter, reason and state stands in docs/OPERATIONS.md", "[docs]")
 {
-    const std::string text = page("OPERATING.md");
+    const std::string text = page("OPERATIONS.md");
     for (const auto& [it, name] : eventNames)
         mustName(text, name);
     for (const auto& row : refusalRows)
