Proxy: Break slow work off only if there is another upstream

Cause: an idempotent request whose upstream takes more than half of the request's time was broken off for a retry even where the service has no upstream beside those that were tried, and ended with 504.

--- a/Source/Core/dispatch_core.h
+++ b/Source/Core/dispatch_core.h
@@ -64,6 +64,7 @@
 
     choice_result choose(const choice_question&, instant now);
     bool takesNewWork(const std::string& upstream) const { return m_choice.takesNewWork(upstream); }
+    bool hasOther(const std::string& service, const std::set<std::string>& tried) const { return m_choice.hasOther(service, tried); }
     void release(const std::string& upstream) { m_choice.release(upstream); }
 
     // Counts a request towards the retry budget of its service.
--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -274,6 +274,13 @@
     return counts;
 }
 
+bool upstream_choice::hasOther(const std::string& service, const std::set<std::string>& tried) const
+{
+    const auto found = m_byService.find(service);
+    return found != m_byService.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&tried](const row* it) { return !it->entry.isLeaving && !tried.count(it->entry.id); });
+}
+
 double upstream_choice::failingProbability(const std::string& id) const
 {
     const auto found = m_rows.find(id);
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -187,6 +187,9 @@
     // Returns what this host has in flight, by upstream.
     std::map<std::string, unsigned> ownInFlight() const;
 
+    // Returns whether a service has an upstream beside those that were tried.
+    bool hasOther(const std::string& service, const std::set<std::string>& tried) const;
+
     // Returns whether a dispatch chosen earlier may still go to an upstream.
     bool takesNewWork(const std::string& id) const;
 
--- a/Source/proxy_command.cxx
+++ b/Source/proxy_command.cxx
@@ -145,7 +145,7 @@
     drainGuests(runtime, guests);
     logInfo("event=stopped");
     stopLogging();
-    // Calls that the store holds back end with the process.
+    // Threads that wait for the store are ended with the process.
     std::_Exit(0);
 }
 
--- a/Source/route_handler.cxx
+++ b/Source/route_handler.cxx
@@ -334,7 +334,8 @@
     const bool isEarly = end == exchange_end::Timeout && presentInstant() < m_limit;
     bool hasRetry = false;
     if (isEarly && exchange.mayWaitOn()) {
-        hasRetry = m_runtime.phase() == stop_phase::Running && mayRetry(retry_reason::AnswerTimeout);
+        const bool hasOther = m_runtime.withCore([&](dispatch_core& it) { return it.hasOther(m_service, m_tried); });
+        hasRetry = hasOther && m_runtime.phase() == stop_phase::Running && mayRetry(retry_reason::AnswerTimeout);
         if (!hasRetry)
             end = exchange.waitOn(m_outgoing.head.getMethod(), m_guest, m_limit + lateAnswerTime);
     }
--- a/Tests/Proxy/route_test.cxx
+++ b/Tests/Proxy/route_test.cxx
@@ -210,6 +210,20 @@
     CHECK(presentInstant() - begin < std::chrono::milliseconds(900));
 }
 
+TEST_CASE("slow work is broken off only for another upstream", "[proxy]")
+{
+    for (const unsigned upstreams : { 1U, 2U }) {
+        INFO(upstreams << " upstreams");
+        proxy_fixture host(upstreams);
+        upstream_behaviour slow;
+        slow.delay = std::chrono::milliseconds(700);
+        host.setBehaviour(slow);
+        // More than half of its time, less than all.
+        CHECK(statusOf(host.get("/safe/1", "Test-Deadline-Ms: 1000\r\n")) == (upstreams == 1 ? 200 : 504));
+        CHECK(host.receivedCount() == upstreams);
+    }
+}
+
 TEST_CASE("work is broken off when its guest leaves", "[proxy]")
 {
     proxy_fixture host(1);
