Directory: Keep vanished upstreams only where the store may have lapsed them

Ruled out: a late reconnect (1.4 s), lost history, a late row. Change: rows are kept only if half of the directory or more vanished in one reading.

--- a/Source/Core/upstream_book.cxx
+++ b/Source/Core/upstream_book.cxx
@@ -16,19 +16,29 @@
     return true;
 }
 
-bool upstream_book::remove(const std::string& id, instant now)
+bool upstream_book::mayHaveLapsed(std::size_t count, instant now) const
 {
-    const auto found = m_directory.find(id);
-    if (found == m_directory.end())
-        return false;
-    // One that was leaving has left.
-    if (now < m_lapsesUntil && !found->second.isLeaving) {
-        m_lapsed.try_emplace(id, m_lapsesUntil);
-        return false;
+    return now < m_lapsesUntil && count * 2 >= m_directory.size();
+}
+
+bool upstream_book::removeAll(const std::vector<std::string>& ids, instant now)
+{
+    const bool isLapse = mayHaveLapsed(ids.size(), now);
+    bool hasChanged = false;
+    for (const std::string& id : ids) {
+        const auto found = m_directory.find(id);
+        if (found == m_directory.end())
+            continue;
+        // One that was leaving has left.
+        if (isLapse && !found->second.isLeaving) {
+            m_lapsed.try_emplace(id, m_lapsesUntil);
+            continue;
+        }
+        m_directory.erase(found);
+        m_lapsed.erase(id);
+        hasChanged = true;
     }
-    m_directory.erase(found);
-    m_lapsed.erase(id);
-    return true;
+    return hasChanged;
 }
 
 bool upstream_book::keepOnly(const std::vector<std::string>& ids, instant now)
@@ -39,10 +49,7 @@
         if (!kept.count(id))
             missing.push_back(id);
     }
-    bool hasChanged = false;
-    for (const std::string& id : missing)
-        hasChanged = remove(id, now) || hasChanged;
-    return hasChanged;
+    return removeAll(missing, now);
 }
 
 bool upstream_book::expire(instant now)
--- a/Source/Core/upstream_book.h
+++ b/Source/Core/upstream_book.h
@@ -39,9 +39,11 @@
     // dropped. Returns whether the directory changed.
     bool state(const upstream_statement&);
 
-    // Takes in that a row is gone. While rows may have lapsed, the entry stays
-    // until its grace is over. Returns whether the directory changed.
-    bool remove(const std::string& id, instant now);
+    // Takes in that rows are gone, all that one reading brought. If that is half of
+    // the directory or more right after the store was away, they may have lapsed
+    // with it, and the entries stay until their grace is over; fewer have left.
+    // Returns whether the directory changed.
+    bool removeAll(const std::vector<std::string>& ids, instant now);
 
     // Removes all entries but those named, after the table was read whole.
     bool keepOnly(const std::vector<std::string>& ids, instant now);
@@ -55,6 +57,8 @@
     const upstream_directory& directory() const { return m_directory; }
 
 private:
+    bool mayHaveLapsed(std::size_t count, instant now) const;
+
     book_settings m_settings;
     upstream_directory m_directory;
     std::map<std::string, std::int64_t> m_startedAt;
--- a/Source/proxy_runtime.cxx
+++ b/Source/proxy_runtime.cxx
@@ -69,9 +69,10 @@
     if (update.wasAway)
         m_book.noteStoreBack(now);
     std::vector<std::string> present;
+    std::vector<std::string> removed;
     for (const stored_row& row : update.rows) {
         if (row.isRemoved) {
-            m_book.remove(row.key, now);
+            removed.push_back(row.key);
             logInfo(absl::StrCat("event=upstream-removed upstream=", row.key, " version=", row.version));
             continue;
         }
@@ -80,14 +81,15 @@
         if (!statement.ok()) {
             m_metrics.add(event::UpstreamRowsRefused);
             logWarning(absl::StrCat("event=upstream-row-refused upstream=", row.key, " version=", row.version, " error=\"", errorMessage(statement.status()), "\""));
-            m_book.remove(row.key, now);
+            removed.push_back(row.key);
             continue;
         }
         const directory_entry& entry = statement->entry;
         // A whole reading is one event; single changes are told one by one.
         if (m_book.state(*statement) && !update.isWhole)
-            logInfo(absl::StrCat("event=upstream upstream=", row.key, " version=", row.version, " service=", entry.service, " address=", entry.address, " zone=", entry.dataCentre, " leaving=", entry.isLeaving ? "yes" : "no"));
+            logInfo(absl::StrCat("event=upstream upstream=", row.key, " version=", row.version, " service=", entry.service, " address=", entry.address, " data_centre=", entry.dataCentre, " leaving=", entry.isLeaving ? "yes" : "no"));
     }
+    m_book.removeAll(removed, now);
     if (update.isWhole) {
         m_book.keepOnly(present, now);
         logInfo(absl::StrCat("event=upstreams count=", m_book.directory().size(), " version=", update.version));
--- a/Tests/Core/upstream_book_test.cxx
+++ b/Tests/Core/upstream_book_test.cxx
@@ -38,7 +38,7 @@
 {
     upstream_book book(book_settings {});
     book.state(statement("u", 1));
-    CHECK(book.remove("u", begin));
+    CHECK(book.removeAll({ "u" }, begin));
     CHECK(book.directory().empty());
 }
 
@@ -60,4 +60,15 @@
     CHECK(book.directory().count("gone") == 0);
 }
 
+TEST_CASE("upstreams that left while a host was cut off are gone as soon as it learns of it", "[book]")
+{
+    upstream_book book(book_settings {});
+    for (int index = 0; index < 12; ++index)
+        book.state(statement("u" + std::to_string(index), 1));
+    book.noteStoreBack(begin);
+    CHECK(book.removeAll({ "u0", "u1" }, begin));
+    CHECK(book.directory().size() == 10);
+    CHECK(book.directory().count("u0") == 0);
+}
+
 } // namespace almondmoor
