--- a/Source/Core/neighbour_report.h
+++ b/Source/Core/neighbour_report.h
@@ -6,9 +6,11 @@
 #pragma once
 
 #include "Core/endpoint_health.h"
+#include "Core/reader_choice.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +42,8 @@
     std::vector<neighbour_sample> samples;
     // Fingerprints of requests that no host should dispatch any more.
     std::vector<std::uint64_t> quarantined;
+    // Set by hosts that read the store for the others.
+    std::optional<store_confirmation> confirmation;
 };
 
 } // namespace almondmoor
--- a/Source/Generated/neighbour.pb.cxx
+++ b/Source/Generated/neighbour.pb.cxx
@@ -75,6 +75,7 @@
   , /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.confirmation_)*/nullptr
   , /*decltype(_impl_.incarnation_)*/uint64_t{0u}
   , /*decltype(_impl_.sequence_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
@@ -87,6 +88,81 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 NeighbourReportDefaultTypeInternal _NeighbourReport_default_instance_;
+PROTOBUF_CONSTEXPR Confirmation::Confirmation(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.changed_at_)*/{}
+  , /*decltype(_impl_._changed_at_cached_byte_size_)*/{0}
+  , /*decltype(_impl_.age_ms_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct ConfirmationDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR ConfirmationDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~ConfirmationDefaultTypeInternal() {}
+  union {
+    Confirmation _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ConfirmationDefaultTypeInternal _Confirmation_default_instance_;
+PROTOBUF_CONSTEXPR StoredRow::StoredRow(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.key_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.value_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.version_)*/uint64_t{0u}
+  , /*decltype(_impl_.is_removed_)*/false
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct StoredRowDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR StoredRowDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~StoredRowDefaultTypeInternal() {}
+  union {
+    StoredRow _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 StoredRowDefaultTypeInternal _StoredRow_default_instance_;
+PROTOBUF_CONSTEXPR StoredRows::StoredRows(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.rows_)*/{}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct StoredRowsDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR StoredRowsDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~StoredRowsDefaultTypeInternal() {}
+  union {
+    StoredRows _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 StoredRowsDefaultTypeInternal _StoredRows_default_instance_;
+PROTOBUF_CONSTEXPR TableReading::TableReading(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.packed_rows_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.table_)*/0u
+  , /*decltype(_impl_.was_away_)*/false
+  , /*decltype(_impl_.after_)*/uint64_t{0u}
+  , /*decltype(_impl_.version_)*/uint64_t{0u}
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct TableReadingDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR TableReadingDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~TableReadingDefaultTypeInternal() {}
+  union {
+    TableReading _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 TableReadingDefaultTypeInternal _TableReading_default_instance_;
+PROTOBUF_CONSTEXPR Datagram::Datagram(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.content_)*/{}
+  , /*decltype(_impl_._cached_size_)*/{}
+  , /*decltype(_impl_._oneof_case_)*/{}} {}
+struct DatagramDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR DatagramDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~DatagramDefaultTypeInternal() {}
+  union {
+    Datagram _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 DatagramDefaultTypeInternal _Datagram_default_instance_;
 PROTOBUF_CONSTEXPR RosterEntry::RosterEntry(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -103,7 +179,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 RosterEntryDefaultTypeInternal _RosterEntry_default_instance_;
 }  // namespace wire
 }  // namespace almondmoor
-static ::_pb::Metadata file_level_metadata_neighbour_2eproto[5];
+static ::_pb::Metadata file_level_metadata_neighbour_2eproto[10];
 static constexpr ::_pb::EnumDescriptor const** file_level_enum_descriptors_neighbour_2eproto = nullptr;
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_neighbour_2eproto = nullptr;
 
@@ -149,6 +225,52 @@
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.admitted_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.samples_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.quarantined_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.confirmation_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Confirmation, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Confirmation, _impl_.age_ms_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Confirmation, _impl_.changed_at_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::StoredRow, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::StoredRow, _impl_.key_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::StoredRow, _impl_.value_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::StoredRow, _impl_.version_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::StoredRow, _impl_.is_removed_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::StoredRows, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::StoredRows, _impl_.rows_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.table_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.was_away_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.after_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.version_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.packed_rows_),
+  ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Datagram, _internal_metadata_),
+  ~0u,  // no _extensions_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Datagram, _impl_._oneof_case_[0]),
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  ::_pbi::kInvalidFieldOffsetTag,
+  ::_pbi::kInvalidFieldOffsetTag,
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Datagram, _impl_.content_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::RosterEntry, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -163,7 +285,12 @@
   { 8, -1, -1, sizeof(::almondmoor::wire::Admitted)},
   { 16, -1, -1, sizeof(::almondmoor::wire::RemoteSample)},
   { 26, -1, -1, sizeof(::almondmoor::wire::NeighbourReport)},
-  { 41, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
+  { 42, -1, -1, sizeof(::almondmoor::wire::Confirmation)},
+  { 50, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
+  { 60, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
+  { 67, -1, -1, sizeof(::almondmoor::wire::TableReading)},
+  { 78, -1, -1, sizeof(::almondmoor::wire::Datagram)},
+  { 87, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -171,6 +298,11 @@
   &::almondmoor::wire::_Admitted_default_instance_._instance,
   &::almondmoor::wire::_RemoteSample_default_instance_._instance,
   &::almondmoor::wire::_NeighbourReport_default_instance_._instance,
+  &::almondmoor::wire::_Confirmation_default_instance_._instance,
+  &::almondmoor::wire::_StoredRow_default_instance_._instance,
+  &::almondmoor::wire::_StoredRows_default_instance_._instance,
+  &::almondmoor::wire::_TableReading_default_instance_._instance,
+  &::almondmoor::wire::_Datagram_default_instance_._instance,
   &::almondmoor::wire::_RosterEntry_default_instance_._instance,
 };
 
@@ -180,21 +312,33 @@
   "\'\n\010Admitted\022\014\n\004team\030\001 \001(\t\022\r\n\005count\030\002 \001(\004"
   "\"Y\n\014RemoteSample\022\020\n\010upstream\030\001 \001(\t\022\016\n\006re"
   "sult\030\002 \001(\r\022\022\n\nlatency_ms\030\003 \001(\r\022\023\n\013finger"
-  "print\030\004 \001(\006\"\214\002\n\017NeighbourReport\022\014\n\004host\030"
+  "print\030\004 \001(\006\"\301\002\n\017NeighbourReport\022\014\n\004host\030"
   "\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\017\n\007address\030\003 "
   "\001(\t\022\023\n\013incarnation\030\004 \001(\004\022\020\n\010sequence\030\005 \001"
   "(\004\022,\n\tin_flight\030\006 \003(\0132\031.almondmoor.wire."
   "InFlight\022+\n\010admitted\030\007 \003(\0132\031.almondmoor."
   "wire.Admitted\022.\n\007samples\030\010 \003(\0132\035.almondm"
   "oor.wire.RemoteSample\022\023\n\013quarantined\030\t \003"
-  "(\006\"3\n\013RosterEntry\022\017\n\007address\030\001 \001(\t\022\023\n\013da"
-  "ta_centre\030\002 \001(\tb\006proto3"
+  "(\006\0223\n\014confirmation\030\n \001(\0132\035.almondmoor.wi"
+  "re.Confirmation\"2\n\014Confirmation\022\016\n\006age_m"
+  "s\030\001 \001(\r\022\022\n\nchanged_at\030\002 \003(\004\"L\n\tStoredRow"
+  "\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\017\n\007version\030"
+  "\003 \001(\004\022\022\n\nis_removed\030\004 \001(\010\"6\n\nStoredRows\022"
+  "(\n\004rows\030\001 \003(\0132\032.almondmoor.wire.StoredRo"
+  "w\"d\n\014TableReading\022\r\n\005table\030\001 \001(\r\022\020\n\010was_"
+  "away\030\002 \001(\010\022\r\n\005after\030\003 \001(\004\022\017\n\007version\030\004 \001"
+  "(\004\022\023\n\013packed_rows\030\005 \001(\014\"{\n\010Datagram\0222\n\006r"
+  "eport\030\001 \001(\0132 .almondmoor.wire.NeighbourR"
+  "eportH\000\0220\n\007reading\030\002 \001(\0132\035.almondmoor.wi"
+  "re.TableReadingH\000B\t\n\007content\"3\n\013RosterEn"
+  "try\022\017\n\007address\030\001 \001(\t\022\023\n\013data_centre\030\002 \001("
+  "\tb\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_neighbour_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_neighbour_2eproto = {
-    false, false, 543, descriptor_table_protodef_neighbour_2eproto,
+    false, false, 1009, descriptor_table_protodef_neighbour_2eproto,
     "neighbour.proto",
-    &descriptor_table_neighbour_2eproto_once, nullptr, 0, 5,
+    &descriptor_table_neighbour_2eproto_once, nullptr, 0, 10,
     schemas, file_default_instances, TableStruct_neighbour_2eproto::offsets,
     file_level_metadata_neighbour_2eproto, file_level_enum_descriptors_neighbour_2eproto,
     file_level_service_descriptors_neighbour_2eproto,
@@ -959,8 +1103,13 @@
 
 class NeighbourReport::_Internal {
  public:
+  static const ::almondmoor::wire::Confirmation& confirmation(const NeighbourReport* msg);
 };
 
+const ::almondmoor::wire::Confirmation&
+NeighbourReport::_Internal::confirmation(const NeighbourReport* msg) {
+  return *msg->_impl_.confirmation_;
+}
 NeighbourReport::NeighbourReport(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
@@ -978,6 +1127,7 @@
     , decltype(_impl_.host_){}
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.address_){}
+    , decltype(_impl_.confirmation_){nullptr}
     , decltype(_impl_.incarnation_){}
     , decltype(_impl_.sequence_){}
     , /*decltype(_impl_._cached_size_)*/{}};
@@ -1007,6 +1157,9 @@
     _this->_impl_.address_.Set(from._internal_address(), 
       _this->GetArenaForAllocation());
   }
+  if (from._internal_has_confirmation()) {
+    _this->_impl_.confirmation_ = new ::almondmoor::wire::Confirmation(*from._impl_.confirmation_);
+  }
   ::memcpy(&_impl_.incarnation_, &from._impl_.incarnation_,
     static_cast<size_t>(reinterpret_cast<char*>(&_impl_.sequence_) -
     reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.sequence_));
@@ -1025,6 +1178,7 @@
     , decltype(_impl_.host_){}
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.address_){}
+    , decltype(_impl_.confirmation_){nullptr}
     , decltype(_impl_.incarnation_){uint64_t{0u}}
     , decltype(_impl_.sequence_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
@@ -1061,6 +1215,7 @@
   _impl_.host_.Destroy();
   _impl_.data_centre_.Destroy();
   _impl_.address_.Destroy();
+  if (this != internal_default_instance()) delete _impl_.confirmation_;
 }
 
 void NeighbourReport::SetCachedSize(int size) const {
@@ -1080,6 +1235,10 @@
   _impl_.host_.ClearToEmpty();
   _impl_.data_centre_.ClearToEmpty();
   _impl_.address_.ClearToEmpty();
+  if (GetArenaForAllocation() == nullptr && _impl_.confirmation_ != nullptr) {
+    delete _impl_.confirmation_;
+  }
+  _impl_.confirmation_ = nullptr;
   ::memset(&_impl_.incarnation_, 0, static_cast<size_t>(
       reinterpret_cast<char*>(&_impl_.sequence_) -
       reinterpret_cast<char*>(&_impl_.incarnation_)) + sizeof(_impl_.sequence_));
@@ -1188,6 +1347,14 @@
         } else
           goto handle_unusual;
         continue;
+      // .almondmoor.wire.Confirmation confirmation = 10;
+      case 10:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 82)) {
+          ptr = ctx->ParseMessage(_internal_mutable_confirmation(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -1288,6 +1455,13 @@
     target = stream->WriteFixedPacked(9, _internal_quarantined(), target);
   }
 
+  // .almondmoor.wire.Confirmation confirmation = 10;
+  if (this->_internal_has_confirmation()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(10, _Internal::confirmation(this),
+        _Internal::confirmation(this).GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -1357,6 +1531,13 @@
         this->_internal_address());
   }
 
+  // .almondmoor.wire.Confirmation confirmation = 10;
+  if (this->_internal_has_confirmation()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+        *_impl_.confirmation_);
+  }
+
   // uint64 incarnation = 4;
   if (this->_internal_incarnation() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_incarnation());
@@ -1398,6 +1579,10 @@
   if (!from._internal_address().empty()) {
     _this->_internal_set_address(from._internal_address());
   }
+  if (from._internal_has_confirmation()) {
+    _this->_internal_mutable_confirmation()->::almondmoor::wire::Confirmation::MergeFrom(
+        from._internal_confirmation());
+  }
   if (from._internal_incarnation() != 0) {
     _this->_internal_set_incarnation(from._internal_incarnation());
   }
@@ -1442,9 +1627,9 @@
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
       PROTOBUF_FIELD_OFFSET(NeighbourReport, _impl_.sequence_)
       + sizeof(NeighbourReport::_impl_.sequence_)
-      - PROTOBUF_FIELD_OFFSET(NeighbourReport, _impl_.incarnation_)>(
-          reinterpret_cast<char*>(&_impl_.incarnation_),
-          reinterpret_cast<char*>(&other->_impl_.incarnation_));
+      - PROTOBUF_FIELD_OFFSET(NeighbourReport, _impl_.confirmation_)>(
+          reinterpret_cast<char*>(&_impl_.confirmation_),
+          reinterpret_cast<char*>(&other->_impl_.confirmation_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata NeighbourReport::GetMetadata() const {
@@ -1455,65 +1640,44 @@
 
 // ===================================================================
 
-class RosterEntry::_Internal {
+class Confirmation::_Internal {
  public:
 };
 
-RosterEntry::RosterEntry(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+Confirmation::Confirmation(::PROTOBUF_NAMESPACE_ID::Arena* arena,
                          bool is_message_owned)
   : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
   SharedCtor(arena, is_message_owned);
-  // @@protoc_insertion_point(arena_constructor:almondmoor.wire.RosterEntry)
+  // @@protoc_insertion_point(arena_constructor:almondmoor.wire.Confirmation)
 }
-RosterEntry::RosterEntry(const RosterEntry& from)
+Confirmation::Confirmation(const Confirmation& from)
   : ::PROTOBUF_NAMESPACE_ID::Message() {
-  RosterEntry* const _this = this; (void)_this;
+  Confirmation* const _this = this; (void)_this;
   new (&_impl_) Impl_{
-      decltype(_impl_.address_){}
-    , decltype(_impl_.data_centre_){}
+      decltype(_impl_.changed_at_){from._impl_.changed_at_}
+    , /*decltype(_impl_._changed_at_cached_byte_size_)*/{0}
+    , decltype(_impl_.age_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
-  _impl_.address_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.address_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_address().empty()) {
-    _this->_impl_.address_.Set(from._internal_address(), 
-      _this->GetArenaForAllocation());
-  }
-  _impl_.data_centre_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.data_centre_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  if (!from._internal_data_centre().empty()) {
-    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
-      _this->GetArenaForAllocation());
-  }
-  // @@protoc_insertion_point(copy_constructor:almondmoor.wire.RosterEntry)
+  _this->_impl_.age_ms_ = from._impl_.age_ms_;
+  // @@protoc_insertion_point(copy_constructor:almondmoor.wire.Confirmation)
 }
 
-inline void RosterEntry::SharedCtor(
+inline void Confirmation::SharedCtor(
     ::_pb::Arena* arena, bool is_message_owned) {
   (void)arena;
   (void)is_message_owned;
   new (&_impl_) Impl_{
-      decltype(_impl_.address_){}
-    , decltype(_impl_.data_centre_){}
+      decltype(_impl_.changed_at_){arena}
+    , /*decltype(_impl_._changed_at_cached_byte_size_)*/{0}
+    , decltype(_impl_.age_ms_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
-  _impl_.address_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.address_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
-  _impl_.data_centre_.InitDefault();
-  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
-    _impl_.data_centre_.Set("", GetArenaForAllocation());
-  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
 
-RosterEntry::~RosterEntry() {
-  // @@protoc_insertion_point(destructor:almondmoor.wire.RosterEntry)
+Confirmation::~Confirmation() {
+  // @@protoc_insertion_point(destructor:almondmoor.wire.Confirmation)
   if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
   (void)arena;
     return;
@@ -1521,50 +1685,48 @@
   SharedDtor();
 }
 
-inline void RosterEntry::SharedDtor() {
+inline void Confirmation::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
-  _impl_.address_.Destroy();
-  _impl_.data_centre_.Destroy();
+  _impl_.changed_at_.~RepeatedField();
 }
 
-void RosterEntry::SetCachedSize(int size) const {
+void Confirmation::SetCachedSize(int size) const {
   _impl_._cached_size_.Set(size);
 }
 
-void RosterEntry::Clear() {
-// @@protoc_insertion_point(message_clear_start:almondmoor.wire.RosterEntry)
+void Confirmation::Clear() {
+// @@protoc_insertion_point(message_clear_start:almondmoor.wire.Confirmation)
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  _impl_.address_.ClearToEmpty();
-  _impl_.data_centre_.ClearToEmpty();
+  _impl_.changed_at_.Clear();
+  _impl_.age_ms_ = 0u;
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
-const char* RosterEntry::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+const char* Confirmation::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
 #define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
   while (!ctx->Done(&ptr)) {
     uint32_t tag;
     ptr = ::_pbi::ReadTag(ptr, &tag);
     switch (tag >> 3) {
-      // string address = 1;
+      // uint32 age_ms = 1;
       case 1:
-        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
-          auto str = _internal_mutable_address();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.age_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "almondmoor.wire.RosterEntry.address"));
         } else
           goto handle_unusual;
         continue;
-      // string data_centre = 2;
+      // repeated uint64 changed_at = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
-          auto str = _internal_mutable_data_centre();
-          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          ptr = ::PROTOBUF_NAMESPACE_ID::internal::PackedUInt64Parser(_internal_mutable_changed_at(), ptr, ctx);
+          CHK_(ptr);
+        } else if (static_cast<uint8_t>(tag) == 16) {
+          _internal_add_changed_at(::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr));
           CHK_(ptr);
-          CHK_(::_pbi::VerifyUTF8(str, "almondmoor.wire.RosterEntry.data_centre"));
         } else
           goto handle_unusual;
         continue;
@@ -1591,140 +1753,1507 @@
 #undef CHK_
 }
 
-uint8_t* RosterEntry::_InternalSerialize(
+uint8_t* Confirmation::_InternalSerialize(
     uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
-  // @@protoc_insertion_point(serialize_to_array_start:almondmoor.wire.RosterEntry)
+  // @@protoc_insertion_point(serialize_to_array_start:almondmoor.wire.Confirmation)
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  // string address = 1;
-  if (!this->_internal_address().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_address().data(), static_cast<int>(this->_internal_address().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "almondmoor.wire.RosterEntry.address");
-    target = stream->WriteStringMaybeAliased(
-        1, this->_internal_address(), target);
+  // uint32 age_ms = 1;
+  if (this->_internal_age_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_age_ms(), target);
   }
 
-  // string data_centre = 2;
-  if (!this->_internal_data_centre().empty()) {
-    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
-      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
-      "almondmoor.wire.RosterEntry.data_centre");
-    target = stream->WriteStringMaybeAliased(
-        2, this->_internal_data_centre(), target);
+  // repeated uint64 changed_at = 2;
+  {
+    int byte_size = _impl_._changed_at_cached_byte_size_.load(std::memory_order_relaxed);
+    if (byte_size > 0) {
+      target = stream->WriteUInt64Packed(
+          2, _internal_changed_at(), byte_size, target);
+    }
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
   }
-  // @@protoc_insertion_point(serialize_to_array_end:almondmoor.wire.RosterEntry)
+  // @@protoc_insertion_point(serialize_to_array_end:almondmoor.wire.Confirmation)
   return target;
 }
 
-size_t RosterEntry::ByteSizeLong() const {
-// @@protoc_insertion_point(message_byte_size_start:almondmoor.wire.RosterEntry)
+size_t Confirmation::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:almondmoor.wire.Confirmation)
   size_t total_size = 0;
 
   uint32_t cached_has_bits = 0;
   // Prevent compiler warnings about cached_has_bits being unused
   (void) cached_has_bits;
 
-  // string address = 1;
-  if (!this->_internal_address().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_address());
+  // repeated uint64 changed_at = 2;
+  {
+    size_t data_size = ::_pbi::WireFormatLite::
+      UInt64Size(this->_impl_.changed_at_);
+    if (data_size > 0) {
+      total_size += 1 +
+        ::_pbi::WireFormatLite::Int32Size(static_cast<int32_t>(data_size));
+    }
+    int cached_size = ::_pbi::ToCachedSize(data_size);
+    _impl_._changed_at_cached_byte_size_.store(cached_size,
+                                    std::memory_order_relaxed);
+    total_size += data_size;
   }
 
-  // string data_centre = 2;
-  if (!this->_internal_data_centre().empty()) {
-    total_size += 1 +
-      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
-        this->_internal_data_centre());
+  // uint32 age_ms = 1;
+  if (this->_internal_age_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_age_ms());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RosterEntry::_class_data_ = {
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData Confirmation::_class_data_ = {
     ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
-    RosterEntry::MergeImpl
+    Confirmation::MergeImpl
 };
-const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RosterEntry::GetClassData() const { return &_class_data_; }
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*Confirmation::GetClassData() const { return &_class_data_; }
 
 
-void RosterEntry::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
-  auto* const _this = static_cast<RosterEntry*>(&to_msg);
-  auto& from = static_cast<const RosterEntry&>(from_msg);
-  // @@protoc_insertion_point(class_specific_merge_from_start:almondmoor.wire.RosterEntry)
+void Confirmation::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<Confirmation*>(&to_msg);
+  auto& from = static_cast<const Confirmation&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:almondmoor.wire.Confirmation)
   GOOGLE_DCHECK_NE(&from, _this);
   uint32_t cached_has_bits = 0;
   (void) cached_has_bits;
 
-  if (!from._internal_address().empty()) {
-    _this->_internal_set_address(from._internal_address());
-  }
-  if (!from._internal_data_centre().empty()) {
-    _this->_internal_set_data_centre(from._internal_data_centre());
+  _this->_impl_.changed_at_.MergeFrom(from._impl_.changed_at_);
+  if (from._internal_age_ms() != 0) {
+    _this->_internal_set_age_ms(from._internal_age_ms());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
-void RosterEntry::CopyFrom(const RosterEntry& from) {
-// @@protoc_insertion_point(class_specific_copy_from_start:almondmoor.wire.RosterEntry)
+void Confirmation::CopyFrom(const Confirmation& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:almondmoor.wire.Confirmation)
   if (&from == this) return;
   Clear();
   MergeFrom(from);
 }
 
-bool RosterEntry::IsInitialized() const {
+bool Confirmation::IsInitialized() const {
   return true;
 }
 
-void RosterEntry::InternalSwap(RosterEntry* other) {
+void Confirmation::InternalSwap(Confirmation* other) {
   using std::swap;
-  auto* lhs_arena = GetArenaForAllocation();
-  auto* rhs_arena = other->GetArenaForAllocation();
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.address_, lhs_arena,
-      &other->_impl_.address_, rhs_arena
-  );
-  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
-      &_impl_.data_centre_, lhs_arena,
-      &other->_impl_.data_centre_, rhs_arena
-  );
+  _impl_.changed_at_.InternalSwap(&other->_impl_.changed_at_);
+  swap(_impl_.age_ms_, other->_impl_.age_ms_);
 }
 
-::PROTOBUF_NAMESPACE_ID::Metadata RosterEntry::GetMetadata() const {
+::PROTOBUF_NAMESPACE_ID::Metadata Confirmation::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_neighbour_2eproto_getter, &descriptor_table_neighbour_2eproto_once,
       file_level_metadata_neighbour_2eproto[4]);
 }
 
-// @@protoc_insertion_point(namespace_scope)
-}  // namespace wire
-}  // namespace almondmoor
-PROTOBUF_NAMESPACE_OPEN
-template<> PROTOBUF_NOINLINE ::almondmoor::wire::InFlight*
-Arena::CreateMaybeMessage< ::almondmoor::wire::InFlight >(Arena* arena) {
-  return Arena::CreateMessageInternal< ::almondmoor::wire::InFlight >(arena);
+// ===================================================================
+
+class StoredRow::_Internal {
+ public:
+};
+
+StoredRow::StoredRow(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:almondmoor.wire.StoredRow)
 }
-template<> PROTOBUF_NOINLINE ::almondmoor::wire::Admitted*
-Arena::CreateMaybeMessage< ::almondmoor::wire::Admitted >(Arena* arena) {
-  return Arena::CreateMessageInternal< ::almondmoor::wire::Admitted >(arena);
+StoredRow::StoredRow(const StoredRow& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  StoredRow* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.key_){}
+    , decltype(_impl_.value_){}
+    , decltype(_impl_.version_){}
+    , decltype(_impl_.is_removed_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.key_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.key_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_key().empty()) {
+    _this->_impl_.key_.Set(from._internal_key(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.value_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.value_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_value().empty()) {
+    _this->_impl_.value_.Set(from._internal_value(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.version_, &from._impl_.version_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.is_removed_) -
+    reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.is_removed_));
+  // @@protoc_insertion_point(copy_constructor:almondmoor.wire.StoredRow)
 }
-template<> PROTOBUF_NOINLINE ::almondmoor::wire::RemoteSample*
-Arena::CreateMaybeMessage< ::almondmoor::wire::RemoteSample >(Arena* arena) {
-  return Arena::CreateMessageInternal< ::almondmoor::wire::RemoteSample >(arena);
+
+inline void StoredRow::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.key_){}
+    , decltype(_impl_.value_){}
+    , decltype(_impl_.version_){uint64_t{0u}}
+    , decltype(_impl_.is_removed_){false}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.key_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.key_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.value_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.value_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
 }
-template<> PROTOBUF_NOINLINE ::almondmoor::wire::NeighbourReport*
-Arena::CreateMaybeMessage< ::almondmoor::wire::NeighbourReport >(Arena* arena) {
-  return Arena::CreateMessageInternal< ::almondmoor::wire::NeighbourReport >(arena);
+
+StoredRow::~StoredRow() {
+  // @@protoc_insertion_point(destructor:almondmoor.wire.StoredRow)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void StoredRow::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.key_.Destroy();
+  _impl_.value_.Destroy();
+}
+
+void StoredRow::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void StoredRow::Clear() {
+// @@protoc_insertion_point(message_clear_start:almondmoor.wire.StoredRow)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.key_.ClearToEmpty();
+  _impl_.value_.ClearToEmpty();
+  ::memset(&_impl_.version_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.is_removed_) -
+      reinterpret_cast<char*>(&_impl_.version_)) + sizeof(_impl_.is_removed_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* StoredRow::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string key = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_key();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "almondmoor.wire.StoredRow.key"));
+        } else
+          goto handle_unusual;
+        continue;
+      // bytes value = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_value();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 version = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.version_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bool is_removed = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.is_removed_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* StoredRow::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:almondmoor.wire.StoredRow)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string key = 1;
+  if (!this->_internal_key().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_key().data(), static_cast<int>(this->_internal_key().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "almondmoor.wire.StoredRow.key");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_key(), target);
+  }
+
+  // bytes value = 2;
+  if (!this->_internal_value().empty()) {
+    target = stream->WriteBytesMaybeAliased(
+        2, this->_internal_value(), target);
+  }
+
+  // uint64 version = 3;
+  if (this->_internal_version() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_version(), target);
+  }
+
+  // bool is_removed = 4;
+  if (this->_internal_is_removed() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(4, this->_internal_is_removed(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:almondmoor.wire.StoredRow)
+  return target;
+}
+
+size_t StoredRow::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:almondmoor.wire.StoredRow)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string key = 1;
+  if (!this->_internal_key().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_key());
+  }
+
+  // bytes value = 2;
+  if (!this->_internal_value().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
+        this->_internal_value());
+  }
+
+  // uint64 version = 3;
+  if (this->_internal_version() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_version());
+  }
+
+  // bool is_removed = 4;
+  if (this->_internal_is_removed() != 0) {
+    total_size += 1 + 1;
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData StoredRow::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    StoredRow::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*StoredRow::GetClassData() const { return &_class_data_; }
+
+
+void StoredRow::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<StoredRow*>(&to_msg);
+  auto& from = static_cast<const StoredRow&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:almondmoor.wire.StoredRow)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_key().empty()) {
+    _this->_internal_set_key(from._internal_key());
+  }
+  if (!from._internal_value().empty()) {
+    _this->_internal_set_value(from._internal_value());
+  }
+  if (from._internal_version() != 0) {
+    _this->_internal_set_version(from._internal_version());
+  }
+  if (from._internal_is_removed() != 0) {
+    _this->_internal_set_is_removed(from._internal_is_removed());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void StoredRow::CopyFrom(const StoredRow& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:almondmoor.wire.StoredRow)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool StoredRow::IsInitialized() const {
+  return true;
+}
+
+void StoredRow::InternalSwap(StoredRow* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.key_, lhs_arena,
+      &other->_impl_.key_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.value_, lhs_arena,
+      &other->_impl_.value_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(StoredRow, _impl_.is_removed_)
+      + sizeof(StoredRow::_impl_.is_removed_)
+      - PROTOBUF_FIELD_OFFSET(StoredRow, _impl_.version_)>(
+          reinterpret_cast<char*>(&_impl_.version_),
+          reinterpret_cast<char*>(&other->_impl_.version_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata StoredRow::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_neighbour_2eproto_getter, &descriptor_table_neighbour_2eproto_once,
+      file_level_metadata_neighbour_2eproto[5]);
+}
+
+// ===================================================================
+
+class StoredRows::_Internal {
+ public:
+};
+
+StoredRows::StoredRows(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:almondmoor.wire.StoredRows)
+}
+StoredRows::StoredRows(const StoredRows& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  StoredRows* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.rows_){from._impl_.rows_}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  // @@protoc_insertion_point(copy_constructor:almondmoor.wire.StoredRows)
+}
+
+inline void StoredRows::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.rows_){arena}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+StoredRows::~StoredRows() {
+  // @@protoc_insertion_point(destructor:almondmoor.wire.StoredRows)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void StoredRows::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.rows_.~RepeatedPtrField();
+}
+
+void StoredRows::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void StoredRows::Clear() {
+// @@protoc_insertion_point(message_clear_start:almondmoor.wire.StoredRows)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.rows_.Clear();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* StoredRows::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // repeated .almondmoor.wire.StoredRow rows = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            ptr = ctx->ParseMessage(_internal_add_rows(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<10>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* StoredRows::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:almondmoor.wire.StoredRows)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // repeated .almondmoor.wire.StoredRow rows = 1;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_rows_size()); i < n; i++) {
+    const auto& repfield = this->_internal_rows(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(1, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:almondmoor.wire.StoredRows)
+  return target;
+}
+
+size_t StoredRows::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:almondmoor.wire.StoredRows)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // repeated .almondmoor.wire.StoredRow rows = 1;
+  total_size += 1UL * this->_internal_rows_size();
+  for (const auto& msg : this->_impl_.rows_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData StoredRows::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    StoredRows::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*StoredRows::GetClassData() const { return &_class_data_; }
+
+
+void StoredRows::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<StoredRows*>(&to_msg);
+  auto& from = static_cast<const StoredRows&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:almondmoor.wire.StoredRows)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  _this->_impl_.rows_.MergeFrom(from._impl_.rows_);
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void StoredRows::CopyFrom(const StoredRows& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:almondmoor.wire.StoredRows)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool StoredRows::IsInitialized() const {
+  return true;
+}
+
+void StoredRows::InternalSwap(StoredRows* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  _impl_.rows_.InternalSwap(&other->_impl_.rows_);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata StoredRows::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_neighbour_2eproto_getter, &descriptor_table_neighbour_2eproto_once,
+      file_level_metadata_neighbour_2eproto[6]);
+}
+
+// ===================================================================
+
+class TableReading::_Internal {
+ public:
+};
+
+TableReading::TableReading(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:almondmoor.wire.TableReading)
+}
+TableReading::TableReading(const TableReading& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  TableReading* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.packed_rows_){}
+    , decltype(_impl_.table_){}
+    , decltype(_impl_.was_away_){}
+    , decltype(_impl_.after_){}
+    , decltype(_impl_.version_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.packed_rows_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.packed_rows_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_packed_rows().empty()) {
+    _this->_impl_.packed_rows_.Set(from._internal_packed_rows(), 
+      _this->GetArenaForAllocation());
+  }
+  ::memcpy(&_impl_.table_, &from._impl_.table_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.version_) -
+    reinterpret_cast<char*>(&_impl_.table_)) + sizeof(_impl_.version_));
+  // @@protoc_insertion_point(copy_constructor:almondmoor.wire.TableReading)
+}
+
+inline void TableReading::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.packed_rows_){}
+    , decltype(_impl_.table_){0u}
+    , decltype(_impl_.was_away_){false}
+    , decltype(_impl_.after_){uint64_t{0u}}
+    , decltype(_impl_.version_){uint64_t{0u}}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.packed_rows_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.packed_rows_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+TableReading::~TableReading() {
+  // @@protoc_insertion_point(destructor:almondmoor.wire.TableReading)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void TableReading::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.packed_rows_.Destroy();
+}
+
+void TableReading::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void TableReading::Clear() {
+// @@protoc_insertion_point(message_clear_start:almondmoor.wire.TableReading)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.packed_rows_.ClearToEmpty();
+  ::memset(&_impl_.table_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.version_) -
+      reinterpret_cast<char*>(&_impl_.table_)) + sizeof(_impl_.version_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* TableReading::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // uint32 table = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 8)) {
+          _impl_.table_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bool was_away = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.was_away_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 after = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.after_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 version = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.version_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // bytes packed_rows = 5;
+      case 5:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 42)) {
+          auto str = _internal_mutable_packed_rows();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* TableReading::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:almondmoor.wire.TableReading)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // uint32 table = 1;
+  if (this->_internal_table() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(1, this->_internal_table(), target);
+  }
+
+  // bool was_away = 2;
+  if (this->_internal_was_away() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(2, this->_internal_was_away(), target);
+  }
+
+  // uint64 after = 3;
+  if (this->_internal_after() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_after(), target);
+  }
+
+  // uint64 version = 4;
+  if (this->_internal_version() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_version(), target);
+  }
+
+  // bytes packed_rows = 5;
+  if (!this->_internal_packed_rows().empty()) {
+    target = stream->WriteBytesMaybeAliased(
+        5, this->_internal_packed_rows(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:almondmoor.wire.TableReading)
+  return target;
+}
+
+size_t TableReading::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:almondmoor.wire.TableReading)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // bytes packed_rows = 5;
+  if (!this->_internal_packed_rows().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::BytesSize(
+        this->_internal_packed_rows());
+  }
+
+  // uint32 table = 1;
+  if (this->_internal_table() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_table());
+  }
+
+  // bool was_away = 2;
+  if (this->_internal_was_away() != 0) {
+    total_size += 1 + 1;
+  }
+
+  // uint64 after = 3;
+  if (this->_internal_after() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_after());
+  }
+
+  // uint64 version = 4;
+  if (this->_internal_version() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_version());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData TableReading::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    TableReading::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*TableReading::GetClassData() const { return &_class_data_; }
+
+
+void TableReading::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<TableReading*>(&to_msg);
+  auto& from = static_cast<const TableReading&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:almondmoor.wire.TableReading)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_packed_rows().empty()) {
+    _this->_internal_set_packed_rows(from._internal_packed_rows());
+  }
+  if (from._internal_table() != 0) {
+    _this->_internal_set_table(from._internal_table());
+  }
+  if (from._internal_was_away() != 0) {
+    _this->_internal_set_was_away(from._internal_was_away());
+  }
+  if (from._internal_after() != 0) {
+    _this->_internal_set_after(from._internal_after());
+  }
+  if (from._internal_version() != 0) {
+    _this->_internal_set_version(from._internal_version());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void TableReading::CopyFrom(const TableReading& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:almondmoor.wire.TableReading)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool TableReading::IsInitialized() const {
+  return true;
+}
+
+void TableReading::InternalSwap(TableReading* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.packed_rows_, lhs_arena,
+      &other->_impl_.packed_rows_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(TableReading, _impl_.version_)
+      + sizeof(TableReading::_impl_.version_)
+      - PROTOBUF_FIELD_OFFSET(TableReading, _impl_.table_)>(
+          reinterpret_cast<char*>(&_impl_.table_),
+          reinterpret_cast<char*>(&other->_impl_.table_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata TableReading::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_neighbour_2eproto_getter, &descriptor_table_neighbour_2eproto_once,
+      file_level_metadata_neighbour_2eproto[7]);
+}
+
+// ===================================================================
+
+class Datagram::_Internal {
+ public:
+  static const ::almondmoor::wire::NeighbourReport& report(const Datagram* msg);
+  static const ::almondmoor::wire::TableReading& reading(const Datagram* msg);
+};
+
+const ::almondmoor::wire::NeighbourReport&
+Datagram::_Internal::report(const Datagram* msg) {
+  return *msg->_impl_.content_.report_;
+}
+const ::almondmoor::wire::TableReading&
+Datagram::_Internal::reading(const Datagram* msg) {
+  return *msg->_impl_.content_.reading_;
+}
+void Datagram::set_allocated_report(::almondmoor::wire::NeighbourReport* report) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_content();
+  if (report) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(report);
+    if (message_arena != submessage_arena) {
+      report = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, report, submessage_arena);
+    }
+    set_has_report();
+    _impl_.content_.report_ = report;
+  }
+  // @@protoc_insertion_point(field_set_allocated:almondmoor.wire.Datagram.report)
+}
+void Datagram::set_allocated_reading(::almondmoor::wire::TableReading* reading) {
+  ::PROTOBUF_NAMESPACE_ID::Arena* message_arena = GetArenaForAllocation();
+  clear_content();
+  if (reading) {
+    ::PROTOBUF_NAMESPACE_ID::Arena* submessage_arena =
+      ::PROTOBUF_NAMESPACE_ID::Arena::InternalGetOwningArena(reading);
+    if (message_arena != submessage_arena) {
+      reading = ::PROTOBUF_NAMESPACE_ID::internal::GetOwnedMessage(
+          message_arena, reading, submessage_arena);
+    }
+    set_has_reading();
+    _impl_.content_.reading_ = reading;
+  }
+  // @@protoc_insertion_point(field_set_allocated:almondmoor.wire.Datagram.reading)
+}
+Datagram::Datagram(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:almondmoor.wire.Datagram)
+}
+Datagram::Datagram(const Datagram& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  Datagram* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.content_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+    , /*decltype(_impl_._oneof_case_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  clear_has_content();
+  switch (from.content_case()) {
+    case kReport: {
+      _this->_internal_mutable_report()->::almondmoor::wire::NeighbourReport::MergeFrom(
+          from._internal_report());
+      break;
+    }
+    case kReading: {
+      _this->_internal_mutable_reading()->::almondmoor::wire::TableReading::MergeFrom(
+          from._internal_reading());
+      break;
+    }
+    case CONTENT_NOT_SET: {
+      break;
+    }
+  }
+  // @@protoc_insertion_point(copy_constructor:almondmoor.wire.Datagram)
+}
+
+inline void Datagram::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.content_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+    , /*decltype(_impl_._oneof_case_)*/{}
+  };
+  clear_has_content();
+}
+
+Datagram::~Datagram() {
+  // @@protoc_insertion_point(destructor:almondmoor.wire.Datagram)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void Datagram::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  if (has_content()) {
+    clear_content();
+  }
+}
+
+void Datagram::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void Datagram::clear_content() {
+// @@protoc_insertion_point(one_of_clear_start:almondmoor.wire.Datagram)
+  switch (content_case()) {
+    case kReport: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.content_.report_;
+      }
+      break;
+    }
+    case kReading: {
+      if (GetArenaForAllocation() == nullptr) {
+        delete _impl_.content_.reading_;
+      }
+      break;
+    }
+    case CONTENT_NOT_SET: {
+      break;
+    }
+  }
+  _impl_._oneof_case_[0] = CONTENT_NOT_SET;
+}
+
+
+void Datagram::Clear() {
+// @@protoc_insertion_point(message_clear_start:almondmoor.wire.Datagram)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  clear_content();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* Datagram::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // .almondmoor.wire.NeighbourReport report = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          ptr = ctx->ParseMessage(_internal_mutable_report(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // .almondmoor.wire.TableReading reading = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          ptr = ctx->ParseMessage(_internal_mutable_reading(), ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* Datagram::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:almondmoor.wire.Datagram)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // .almondmoor.wire.NeighbourReport report = 1;
+  if (_internal_has_report()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(1, _Internal::report(this),
+        _Internal::report(this).GetCachedSize(), target, stream);
+  }
+
+  // .almondmoor.wire.TableReading reading = 2;
+  if (_internal_has_reading()) {
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+      InternalWriteMessage(2, _Internal::reading(this),
+        _Internal::reading(this).GetCachedSize(), target, stream);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:almondmoor.wire.Datagram)
+  return target;
+}
+
+size_t Datagram::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:almondmoor.wire.Datagram)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  switch (content_case()) {
+    // .almondmoor.wire.NeighbourReport report = 1;
+    case kReport: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.content_.report_);
+      break;
+    }
+    // .almondmoor.wire.TableReading reading = 2;
+    case kReading: {
+      total_size += 1 +
+        ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(
+          *_impl_.content_.reading_);
+      break;
+    }
+    case CONTENT_NOT_SET: {
+      break;
+    }
+  }
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData Datagram::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    Datagram::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*Datagram::GetClassData() const { return &_class_data_; }
+
+
+void Datagram::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<Datagram*>(&to_msg);
+  auto& from = static_cast<const Datagram&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:almondmoor.wire.Datagram)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  switch (from.content_case()) {
+    case kReport: {
+      _this->_internal_mutable_report()->::almondmoor::wire::NeighbourReport::MergeFrom(
+          from._internal_report());
+      break;
+    }
+    case kReading: {
+      _this->_internal_mutable_reading()->::almondmoor::wire::TableReading::MergeFrom(
+          from._internal_reading());
+      break;
+    }
+    case CONTENT_NOT_SET: {
+      break;
+    }
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void Datagram::CopyFrom(const Datagram& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:almondmoor.wire.Datagram)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool Datagram::IsInitialized() const {
+  return true;
+}
+
+void Datagram::InternalSwap(Datagram* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  swap(_impl_.content_, other->_impl_.content_);
+  swap(_impl_._oneof_case_[0], other->_impl_._oneof_case_[0]);
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata Datagram::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_neighbour_2eproto_getter, &descriptor_table_neighbour_2eproto_once,
+      file_level_metadata_neighbour_2eproto[8]);
+}
+
+// ===================================================================
+
+class RosterEntry::_Internal {
+ public:
+};
+
+RosterEntry::RosterEntry(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:almondmoor.wire.RosterEntry)
+}
+RosterEntry::RosterEntry(const RosterEntry& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  RosterEntry* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.address_){}
+    , decltype(_impl_.data_centre_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_address().empty()) {
+    _this->_impl_.address_.Set(from._internal_address(), 
+      _this->GetArenaForAllocation());
+  }
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  if (!from._internal_data_centre().empty()) {
+    _this->_impl_.data_centre_.Set(from._internal_data_centre(), 
+      _this->GetArenaForAllocation());
+  }
+  // @@protoc_insertion_point(copy_constructor:almondmoor.wire.RosterEntry)
+}
+
+inline void RosterEntry::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.address_){}
+    , decltype(_impl_.data_centre_){}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+  _impl_.address_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.address_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+  _impl_.data_centre_.InitDefault();
+  #ifdef PROTOBUF_FORCE_COPY_DEFAULT_STRING
+    _impl_.data_centre_.Set("", GetArenaForAllocation());
+  #endif // PROTOBUF_FORCE_COPY_DEFAULT_STRING
+}
+
+RosterEntry::~RosterEntry() {
+  // @@protoc_insertion_point(destructor:almondmoor.wire.RosterEntry)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void RosterEntry::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+  _impl_.address_.Destroy();
+  _impl_.data_centre_.Destroy();
+}
+
+void RosterEntry::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void RosterEntry::Clear() {
+// @@protoc_insertion_point(message_clear_start:almondmoor.wire.RosterEntry)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  _impl_.address_.ClearToEmpty();
+  _impl_.data_centre_.ClearToEmpty();
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* RosterEntry::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // string address = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 10)) {
+          auto str = _internal_mutable_address();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "almondmoor.wire.RosterEntry.address"));
+        } else
+          goto handle_unusual;
+        continue;
+      // string data_centre = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 18)) {
+          auto str = _internal_mutable_data_centre();
+          ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+          CHK_(ptr);
+          CHK_(::_pbi::VerifyUTF8(str, "almondmoor.wire.RosterEntry.data_centre"));
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* RosterEntry::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:almondmoor.wire.RosterEntry)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // string address = 1;
+  if (!this->_internal_address().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_address().data(), static_cast<int>(this->_internal_address().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "almondmoor.wire.RosterEntry.address");
+    target = stream->WriteStringMaybeAliased(
+        1, this->_internal_address(), target);
+  }
+
+  // string data_centre = 2;
+  if (!this->_internal_data_centre().empty()) {
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      this->_internal_data_centre().data(), static_cast<int>(this->_internal_data_centre().length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "almondmoor.wire.RosterEntry.data_centre");
+    target = stream->WriteStringMaybeAliased(
+        2, this->_internal_data_centre(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:almondmoor.wire.RosterEntry)
+  return target;
+}
+
+size_t RosterEntry::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:almondmoor.wire.RosterEntry)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // string address = 1;
+  if (!this->_internal_address().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_address());
+  }
+
+  // string data_centre = 2;
+  if (!this->_internal_data_centre().empty()) {
+    total_size += 1 +
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+        this->_internal_data_centre());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData RosterEntry::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    RosterEntry::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*RosterEntry::GetClassData() const { return &_class_data_; }
+
+
+void RosterEntry::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<RosterEntry*>(&to_msg);
+  auto& from = static_cast<const RosterEntry&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:almondmoor.wire.RosterEntry)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (!from._internal_address().empty()) {
+    _this->_internal_set_address(from._internal_address());
+  }
+  if (!from._internal_data_centre().empty()) {
+    _this->_internal_set_data_centre(from._internal_data_centre());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void RosterEntry::CopyFrom(const RosterEntry& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:almondmoor.wire.RosterEntry)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool RosterEntry::IsInitialized() const {
+  return true;
+}
+
+void RosterEntry::InternalSwap(RosterEntry* other) {
+  using std::swap;
+  auto* lhs_arena = GetArenaForAllocation();
+  auto* rhs_arena = other->GetArenaForAllocation();
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.address_, lhs_arena,
+      &other->_impl_.address_, rhs_arena
+  );
+  ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
+      &_impl_.data_centre_, lhs_arena,
+      &other->_impl_.data_centre_, rhs_arena
+  );
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata RosterEntry::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_neighbour_2eproto_getter, &descriptor_table_neighbour_2eproto_once,
+      file_level_metadata_neighbour_2eproto[9]);
+}
+
+// @@protoc_insertion_point(namespace_scope)
+}  // namespace wire
+}  // namespace almondmoor
+PROTOBUF_NAMESPACE_OPEN
+template<> PROTOBUF_NOINLINE ::almondmoor::wire::InFlight*
+Arena::CreateMaybeMessage< ::almondmoor::wire::InFlight >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::almondmoor::wire::InFlight >(arena);
+}
+template<> PROTOBUF_NOINLINE ::almondmoor::wire::Admitted*
+Arena::CreateMaybeMessage< ::almondmoor::wire::Admitted >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::almondmoor::wire::Admitted >(arena);
+}
+template<> PROTOBUF_NOINLINE ::almondmoor::wire::RemoteSample*
+Arena::CreateMaybeMessage< ::almondmoor::wire::RemoteSample >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::almondmoor::wire::RemoteSample >(arena);
+}
+template<> PROTOBUF_NOINLINE ::almondmoor::wire::NeighbourReport*
+Arena::CreateMaybeMessage< ::almondmoor::wire::NeighbourReport >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::almondmoor::wire::NeighbourReport >(arena);
+}
+template<> PROTOBUF_NOINLINE ::almondmoor::wire::Confirmation*
+Arena::CreateMaybeMessage< ::almondmoor::wire::Confirmation >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::almondmoor::wire::Confirmation >(arena);
+}
+template<> PROTOBUF_NOINLINE ::almondmoor::wire::StoredRow*
+Arena::CreateMaybeMessage< ::almondmoor::wire::StoredRow >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::almondmoor::wire::StoredRow >(arena);
+}
+template<> PROTOBUF_NOINLINE ::almondmoor::wire::StoredRows*
+Arena::CreateMaybeMessage< ::almondmoor::wire::StoredRows >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::almondmoor::wire::StoredRows >(arena);
+}
+template<> PROTOBUF_NOINLINE ::almondmoor::wire::TableReading*
+Arena::CreateMaybeMessage< ::almondmoor::wire::TableReading >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::almondmoor::wire::TableReading >(arena);
+}
+template<> PROTOBUF_NOINLINE ::almondmoor::wire::Datagram*
+Arena::CreateMaybeMessage< ::almondmoor::wire::Datagram >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::almondmoor::wire::Datagram >(arena);
 }
 template<> PROTOBUF_NOINLINE ::almondmoor::wire::RosterEntry*
 Arena::CreateMaybeMessage< ::almondmoor::wire::RosterEntry >(Arena* arena) {
--- a/Source/Platform/table_store.h
+++ b/Source/Platform/table_store.h
@@ -58,6 +58,18 @@
     absl::Status error;
 };
 
+// What one reading brought.
+struct table_update {
+    // True if the rows are all rows of the table, and others are gone.
+    bool isWhole = false;
+    // True if this is the first reading after the store could not be read.
+    bool wasAway = false;
+    std::vector<stored_row> rows;
+    // The rows hold what changed after one version and up to another.
+    std::uint64_t after = 0;
+    std::uint64_t version = 0;
+};
+
 template <typename Store>
 concept table_store = requires(Store store, const std::string& text, std::uint64_t version, duration wait)
 {
--- a/Source/metrics.h
+++ b/Source/metrics.h
@@ -45,10 +45,11 @@
     UpstreamRowsRefused,
     NeighbourReportsSent,
     NeighbourReportsTaken,
+    NeighbourReadingsTaken,
     NeighbourBytesSent
 };
 
-inline constexpr name_table<event, 24> eventNames { {
+inline constexpr name_table<event, 25> eventNames { {
     { event::RequestsReceived, "requests_received" },
     { event::AnswersPassed, "answers_passed" },
     { event::AnswersAborted, "answers_aborted" },
@@ -72,6 +73,7 @@
     { event::UpstreamRowsRefused, "upstream_rows_refused" },
     { event::NeighbourReportsSent, "neighbour_reports_sent" },
     { event::NeighbourReportsTaken, "neighbour_reports_taken" },
+    { event::NeighbourReadingsTaken, "neighbour_readings_taken" },
     { event::NeighbourBytesSent, "neighbour_bytes_sent" },
 } };
 
--- a/Source/neighbour_codec.cxx
+++ b/Source/neighbour_codec.cxx
@@ -2,6 +2,12 @@
 
 #include "neighbour.pb.h"
 
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
+#include <Poco/StreamCopier.h>
+#include <sstream>
+
 namespace almondmoor {
 
 namespace {
@@ -12,11 +18,89 @@
         return static_cast<std::uint32_t>(std::max<std::int64_t>(0, ms));
     }
 
+    std::string packed(const std::string& bytes)
+    {
+        std::ostringstream out;
+        Poco::DeflatingOutputStream deflating(out);
+        deflating << bytes;
+        deflating.close();
+        return out.str();
+    }
+
+    // Throws Poco::Exception for bytes that were not packed.
+    std::string unpacked(const std::string& bytes)
+    {
+        std::istringstream in(bytes);
+        Poco::InflatingInputStream inflating(in);
+        std::string out;
+        Poco::StreamCopier::copyToString(inflating, out);
+        return out;
+    }
+
+    void encodeConfirmation(const store_confirmation& confirmation, instant now, wire::Confirmation& out)
+    {
+        out.set_age_ms(wholeMilliseconds(now - confirmation.at));
+        for (const std::uint64_t version : confirmation.changedAt)
+            out.add_changed_at(version);
+    }
+
+    std::optional<store_confirmation> decodeConfirmation(const wire::Confirmation& in, instant now)
+    {
+        store_confirmation confirmation;
+        if (in.changed_at_size() != static_cast<int>(confirmation.changedAt.size()))
+            return std::nullopt;
+        confirmation.at = now - std::chrono::milliseconds(in.age_ms());
+        std::copy(in.changed_at().begin(), in.changed_at().end(), confirmation.changedAt.begin());
+        return confirmation;
+    }
+
+    std::optional<neighbour_datagram> decodeReport(const wire::NeighbourReport& in, instant now)
+    {
+        if (in.host().empty())
+            return std::nullopt;
+        neighbour_report report;
+        report.host = in.host();
+        report.dataCentre = in.data_centre();
+        report.address = in.address();
+        report.incarnation = in.incarnation();
+        report.sequence = in.sequence();
+        for (const auto& entry : in.in_flight())
+            report.inFlight[entry.upstream()] = entry.count();
+        for (const auto& entry : in.admitted())
+            report.admitted[entry.team()] = entry.count();
+        for (const auto& entry : in.samples()) {
+            if (entry.result() >= workResultNames.size())
+                return std::nullopt;
+            const auto result = static_cast<work_result>(entry.result());
+            report.samples.push_back({ entry.upstream(), result, std::chrono::milliseconds(entry.latency_ms()), entry.fingerprint() });
+        }
+        report.quarantined.assign(in.quarantined().begin(), in.quarantined().end());
+        if (in.has_confirmation())
+            report.confirmation = decodeConfirmation(in.confirmation(), now);
+        return report;
+    }
+
+    std::optional<neighbour_datagram> decodeReading(const wire::TableReading& in)
+    {
+        wire::StoredRows rows;
+        if (in.table() >= followedTableNames.size() || !rows.ParseFromString(unpacked(in.packed_rows())))
+            return std::nullopt;
+        table_reading reading;
+        reading.table = static_cast<followed_table>(in.table());
+        reading.update.wasAway = in.was_away();
+        reading.update.after = in.after();
+        reading.update.version = in.version();
+        for (const auto& row : rows.rows())
+            reading.update.rows.push_back({ row.key(), row.value(), row.version(), row.is_removed() });
+        return reading;
+    }
+
 } // namespace
 
-std::string encodeReport(const neighbour_report& report)
+std::string encodeReport(const neighbour_report& report, instant now)
 {
-    wire::NeighbourReport out;
+    wire::Datagram datagram;
+    wire::NeighbourReport& out = *datagram.mutable_report();
     out.set_host(report.host);
     out.set_data_centre(report.dataCentre);
     out.set_address(report.address);
@@ -41,32 +125,45 @@
     }
     for (const std::uint64_t fingerprint : report.quarantined)
         out.add_quarantined(fingerprint);
-    return out.SerializeAsString();
+    if (report.confirmation)
+        encodeConfirmation(*report.confirmation, now, *out.mutable_confirmation());
+    return datagram.SerializeAsString();
 }
 
-std::optional<neighbour_report> decodeReport(const std::string& bytes)
+std::string encodeReading(const table_reading& reading)
 {
-    wire::NeighbourReport in;
-    if (!in.ParseFromString(bytes) || in.host().empty())
+    wire::Datagram datagram;
+    wire::TableReading& out = *datagram.mutable_reading();
+    out.set_table(static_cast<std::uint32_t>(reading.table));
+    out.set_was_away(reading.update.wasAway);
+    out.set_after(reading.update.after);
+    out.set_version(reading.update.version);
+    wire::StoredRows rows;
+    for (const stored_row& row : reading.update.rows) {
+        auto* entry = rows.add_rows();
+        entry->set_key(row.key);
+        entry->set_value(row.value);
+        entry->set_version(row.version);
+        entry->set_is_removed(row.isRemoved);
+    }
+    out.set_packed_rows(packed(rows.SerializeAsString()));
+    return datagram.SerializeAsString();
+}
+
+std::optional<neighbour_datagram> decodeDatagram(const std::string& bytes, instant now)
+{
+    wire::Datagram in;
+    if (!in.ParseFromString(bytes))
+        return std::nullopt;
+    if (in.has_report())
+        return decodeReport(in.report(), now);
+    if (!in.has_reading())
+        return std::nullopt;
+    try {
+        return decodeReading(in.reading());
+    } catch (const Poco::Exception&) {
         return std::nullopt;
-    neighbour_report report;
-    report.host = in.host();
-    report.dataCentre = in.data_centre();
-    report.address = in.address();
-    report.incarnation = in.incarnation();
-    report.sequence = in.sequence();
-    for (const auto& entry : in.in_flight())
-        report.inFlight[entry.upstream()] = entry.count();
-    for (const auto& entry : in.admitted())
-        report.admitted[entry.team()] = entry.count();
-    for (const auto& entry : in.samples()) {
-        if (entry.result() >= workResultNames.size())
-            return std::nullopt;
-        const auto result = static_cast<work_result>(entry.result());
-        report.samples.push_back({ entry.upstream(), result, std::chrono::milliseconds(entry.latency_ms()), entry.fingerprint() });
     }
-    report.quarantined.assign(in.quarantined().begin(), in.quarantined().end());
-    return report;
 }
 
 std::string encodeRosterEntry(const roster_entry& entry)
--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -97,24 +97,59 @@
     take(bytes);
 }
 
+void neighbour_link::setReadingHandlers(reading_handlers handlers)
+{
+    const std::lock_guard lock(m_mutex);
+    m_readings = std::move(handlers);
+}
+
+void neighbour_link::passOn(const table_reading& reading)
+{
+    const std::string bytes = encodeReading(reading);
+    if (bytes.size() > largestDatagram)
+        return;
+    const std::lock_guard lock(m_mutex);
+    sendToNeighbours(bytes);
+}
+
 void neighbour_link::take(const std::string& bytes)
 {
-    const auto report = decodeReport(bytes);
-    if (!report) {
+    const instant now = presentInstant();
+    const auto datagram = decodeDatagram(bytes, now);
+    if (!datagram) {
         m_runtime.counters().add(event::PeerFailures);
         return;
     }
+    if (const auto* report = std::get_if<neighbour_report>(&*datagram)) {
+        takeReport(*report, now);
+        return;
+    }
+    m_runtime.counters().add(event::NeighbourReadingsTaken);
+    const auto taken = [this] {
+        const std::lock_guard lock(m_mutex);
+        return m_readings.taken;
+    }();
+    if (taken)
+        taken(std::get<table_reading>(*datagram));
+}
+
+void neighbour_link::takeReport(const neighbour_report& report, instant now)
+{
     m_runtime.counters().add(event::NeighbourReportsTaken);
-    const instant now = presentInstant();
-    if (report->dataCentre != m_runtime.settings().dataCentre) {
-        const dispatch_core::notice notice { report->samples, report->quarantined };
+    if (report.dataCentre != m_runtime.settings().dataCentre) {
+        const dispatch_core::notice notice { report.samples, report.quarantined };
         m_runtime.withCore([&](dispatch_core& it) { it.noteNotice(notice, now); });
         announce(true);
         return;
     }
-    m_runtime.withCore([&](dispatch_core& it) { it.noteReport(*report, now); });
-    const std::lock_guard lock(m_mutex);
-    m_hosts[report->host] = { report->address, report->dataCentre };
+    m_runtime.withCore([&](dispatch_core& it) { it.noteReport(report, now); });
+    const auto heard = [&] {
+        const std::lock_guard lock(m_mutex);
+        m_hosts[report.host] = { report.address, report.dataCentre };
+        return m_readings.heard;
+    }();
+    if (heard)
+        heard(report.host, report.confirmation);
 }
 
 neighbour_report neighbour_link::signedReport()
@@ -132,7 +167,6 @@
 {
     m_sentAt = presentInstant();
     m_hasNews = false;
-    const auto& settings = m_runtime.settings();
     const std::lock_guard lock(m_mutex);
     dispatch_core::notice notice;
     neighbour_report state = m_runtime.withCore([&notice](dispatch_core& it) {
@@ -146,13 +180,20 @@
     report.samples = std::move(state.samples);
     report.quarantined = std::move(state.quarantined);
     report.quarantined.insert(report.quarantined.end(), notice.quarantined.begin(), notice.quarantined.end());
-    const std::string bytes = encodeReport(report);
+    if (m_readings.confirmation)
+        report.confirmation = m_readings.confirmation();
+    sendToNeighbours(encodeReport(report, presentInstant()));
+    if (!notice.isEmpty())
+        sendNotice(notice);
+}
+
+void neighbour_link::sendToNeighbours(const std::string& bytes)
+{
+    const auto& settings = m_runtime.settings();
     for (const auto& [name, entry] : m_hosts) {
         if (entry.dataCentre == settings.dataCentre && name != settings.hostName)
             sendTo(entry, bytes);
     }
-    if (!notice.isEmpty())
-        sendNotice(notice);
 }
 
 void neighbour_link::sendNotice(const dispatch_core::notice& notice)
@@ -164,7 +205,7 @@
     neighbour_report report = signedReport();
     report.samples = notice.failures;
     report.quarantined = notice.quarantined;
-    const std::string bytes = encodeReport(report);
+    const std::string bytes = encodeReport(report, presentInstant());
     std::map<std::string, std::vector<const roster_entry*>> byDataCentre;
     for (const auto& [name, entry] : m_hosts) {
         if (entry.dataCentre != m_runtime.settings().dataCentre)
--- a/Source/neighbour_link.h
+++ b/Source/neighbour_link.h
@@ -1,5 +1,8 @@
 // Exchanges reports with the hosts of the same data centre over UDP.
 //
+// A host that reads the store passes its readings on, and says in its reports when
+// the store last answered.
+//
 // A report goes out after each step of a request, and from time to time without
 // one. A lost datagram is made good by the next. Of upstreams that begin to fail
 // and requests that crash upstreams, one host of each other data centre is told,
@@ -11,6 +14,7 @@
 
 #include <Poco/Net/DatagramSocket.h>
 #include <atomic>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <random>
@@ -19,6 +23,15 @@
 
 namespace almondmoor {
 
+// What the owner of the readings does with what neighbours say of the store.
+struct reading_handlers {
+    // Called with each report of a host of the same data centre.
+    std::function<void(const std::string& host, const std::optional<store_confirmation>&)> heard;
+    std::function<void(const table_reading&)> taken;
+    // Returns what to say in reports, or nothing.
+    std::function<std::optional<store_confirmation>()> confirmation;
+};
+
 class neighbour_link {
 public:
     explicit neighbour_link(proxy_runtime&);
@@ -35,6 +48,12 @@
     // Follows the roster. Hosts that were heard but do not stand in it stay.
     void adoptRoster(const host_roster&);
 
+    // To be called before any reading is passed on.
+    void setReadingHandlers(reading_handlers);
+
+    // Passes a reading on to the neighbours, unless it is too large for a datagram.
+    void passOn(const table_reading&);
+
     // Sends a report at once if the change is urgent and none went out a moment
     // ago, and otherwise soon.
     void announce(bool isUrgent);
@@ -43,6 +62,8 @@
     void run();
     void receive();
     void take(const std::string& bytes);
+    void takeReport(const neighbour_report&, instant now);
+    void sendToNeighbours(const std::string& bytes);
     // Sends a report to the neighbours and, if there is one, a notice to a host of
     // each other data centre.
     void send();
@@ -54,6 +75,7 @@
     Poco::Net::DatagramSocket m_socket;
     std::mutex m_mutex;
     host_roster m_hosts;
+    reading_handlers m_readings;
     std::uint64_t m_sequence = 0;
     std::mt19937_64 m_random;
     std::atomic<instant> m_sentAt { longAgo };
