Choice: Let hosts that hear the same choose differently, and report by urgency

Change: what others did is no use of one's own; each host prefers other upstreams a little; at once is told only what fails or fills an upstream, soon what runs short of allowance, the rest within 250 ms (report_pacing); reports name teams that moved; datagrams are taken many at a time.

--- a/Source/Core/dispatch_core.cxx
+++ b/Source/Core/dispatch_core.cxx
@@ -1,5 +1,7 @@
 #include "Core/dispatch_core.h"
 
+#include "Core/rendezvous.h"
+
 #include <algorithm>
 
 namespace almondmoor {
@@ -9,6 +11,9 @@
     // Part of the allowed retry ratio that hosts use, since each counts only its
     // own requests.
     constexpr double usedRetryRatio = 0.9;
+    // Time for which a team's total is told after it changed, so that a lost report
+    // is made good by the next.
+    constexpr duration admittedRepeatTime = std::chrono::seconds(2);
     // A neighbour that was not heard for this long counts as unheard.
     constexpr duration neighbourTimeout = std::chrono::milliseconds(1500);
 
@@ -23,7 +28,7 @@
 dispatch_core::dispatch_core(const dispatch_settings& settings, std::string host, std::string dataCentre, region_map regions, std::uint64_t seed)
     : m_settings(settings)
     , m_host(std::move(host))
-    , m_choice(settings.choice, std::move(dataCentre), std::move(regions))
+    , m_choice(settings.choice, std::move(dataCentre), std::move(regions), stableHash(m_host))
     , m_quota(settings.quota)
     , m_budget(budgetFor(settings, 1))
     , m_quarantine(settings.quarantine)
@@ -110,14 +115,22 @@
     }
 }
 
-neighbour_report dispatch_core::takeReport()
+neighbour_report dispatch_core::takeReport(instant now)
 {
     neighbour_report report;
     report.host = m_host;
     report.inFlight = m_choice.ownInFlight();
-    for (const auto& [team, count] : m_quota.takeAdmitted())
-        m_admitted[team] += count;
-    report.admitted = m_admitted;
+    for (const auto& [team, count] : m_quota.takeAdmitted()) {
+        admitted_row& it = m_admitted[team];
+        if (now - it.changedAt > admittedRepeatTime)
+            it.count.before = it.count.total;
+        it.count.total += count;
+        it.changedAt = now;
+    }
+    for (const auto& [team, it] : m_admitted) {
+        if (now - it.changedAt <= admittedRepeatTime)
+            report.admitted[team] = it.count;
+    }
     report.samples = std::move(m_samples);
     m_samples.clear();
     report.quarantined = std::exchange(m_quarantined, {});
@@ -138,11 +151,11 @@
     it.incarnation = report.incarnation;
     it.sequence = report.sequence;
     it.heardAt = now;
-    for (const auto& [team, total] : report.admitted) {
-        std::uint64_t& known = it.admitted[team];
-        if (!isFirst && total > known)
-            m_quota.noteRemote(team, static_cast<double>(total - known), now);
-        known = std::max(known, total);
+    for (const auto& [team, count] : report.admitted) {
+        std::uint64_t& known = it.admitted.try_emplace(team, isFirst ? count.total : count.before).first->second;
+        if (count.total > known)
+            m_quota.noteRemote(team, static_cast<double>(count.total - known), now);
+        known = std::max(known, count.total);
     }
     m_choice.setInFlight(report.host, report.inFlight, now);
     for (const neighbour_sample& sample : report.samples) {
--- a/Source/Core/dispatch_core.h
+++ b/Source/Core/dispatch_core.h
@@ -79,7 +79,7 @@
     bool isQuarantined(std::uint64_t fingerprint, instant now) const { return m_quarantine.isQuarantined(fingerprint, now); }
 
     // Returns what the neighbours should know now.
-    neighbour_report takeReport();
+    neighbour_report takeReport(instant now);
 
     // Takes in a neighbour's report. Reports that arrive out of order are dropped.
     void noteReport(const neighbour_report&, instant now);
@@ -112,6 +112,10 @@
         std::map<std::string, std::uint64_t> admitted;
         instant heardAt = longAgo;
     };
+    struct admitted_row {
+        admitted_count count;
+        instant changedAt = longAgo;
+    };
     struct crash_row {
         std::set<std::string> upstreams;
         instant lastAt = longAgo;
@@ -136,7 +140,7 @@
     std::vector<std::uint64_t> m_quarantined;
     // Admissions since the start, by team; told to neighbours as totals so that
     // a lost report loses none.
-    std::map<std::string, std::uint64_t> m_admitted;
+    std::map<std::string, admitted_row> m_admitted;
     std::vector<neighbour_sample> m_samples;
 };
 
--- a/Source/Core/neighbour_report.h
+++ b/Source/Core/neighbour_report.h
@@ -25,6 +25,16 @@
     std::uint64_t fingerprint = 0;
 };
 
+// What a host admitted of a team's requests.
+struct admitted_count {
+    // Since the host's start.
+    std::uint64_t total = 0;
+    // The total before the present series of admissions.
+    std::uint64_t before = 0;
+
+    bool operator==(const admitted_count&) const = default;
+};
+
 struct neighbour_report {
     std::string host;
     std::string dataCentre;
@@ -36,8 +46,8 @@
     std::uint64_t sequence = 0;
     // Requests in flight by upstream; upstreams that are not named have none.
     std::map<std::string, unsigned> inFlight;
-    // Requests admitted since the sender's start, by team.
-    std::map<std::string, std::uint64_t> admitted;
+    // Admissions by team, of teams for which they changed of late.
+    std::map<std::string, admitted_count> admitted;
     // Attempts that ended since the last report.
     std::vector<neighbour_sample> samples;
     // Fingerprints of requests that no host should dispatch any more.
--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -1,5 +1,7 @@
 #include "Core/upstream_choice.h"
 
+#include "Core/rendezvous.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -43,6 +45,7 @@
         const auto [place, isNew] = m_rows.try_emplace(id);
         row& it = place->second;
         if (isNew) {
+            it.preference = static_cast<double>(stableHash(id, m_seed)) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
             it.failing = commonProbability();
             it.failingAt = now;
             it.slownessAt = now;
@@ -74,7 +77,7 @@
     const double inFlight = it.ownInFlight + it.peersInFlight;
     const bool isCold = now < it.entry.coldUntil;
     const double work = latency * (isCold ? m_settings.coldFactor : 1) * (1 + m_settings.crowdingCost * inFlight / it.entry.slots);
-    double cost = work + waitAt(it, latency);
+    double cost = work + waitAt(it, latency) + m_settings.preferenceCost * it.preference * latency;
     if (it.tier == distance_tier::SameRegion)
         cost += m_settings.sameRegionCost * target;
     else if (it.tier == distance_tier::OtherRegion)
@@ -128,7 +131,7 @@
         return result;
     }
     result.inFlight = best->ownInFlight + best->peersInFlight;
-    result.isBusy = 2 * result.inFlight >= best->entry.slots;
+    result.isBusy = result.inFlight >= m_settings.busyPart * best->entry.slots;
     result.failing = best->failing;
     ++best->ownInFlight;
     best->usedAt = now;
@@ -167,7 +170,6 @@
 void upstream_choice::note(row& it, work_result result, duration latency, instant now) const
 {
     age(it, now);
-    it.usedAt = std::max(it.usedAt, now);
     const failure_model& model = m_settings.failures;
     switch (result) {
     case work_result::Good: {
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -14,7 +14,9 @@
 //
 // Hosts of one data centre tell each other what they have in flight and what
 // became of it, so that they do not meet at full upstreams and learn of a
-// failing one together. Failures are told to the other data centres too.
+// failing one together. Failures are told to the other data centres too. Hosts
+// that believe the same would choose the same and crowd it; so each prefers other
+// upstreams a little, and goes by its own use of them when it explores.
 //
 // The class has no lock and no clock.
 
@@ -96,7 +98,7 @@
     duration repeatCost = std::chrono::milliseconds(200);
     // Each second that an upstream of this data centre was not used counts for it
     // by this much, so that each shows how it is and none stays idle.
-    duration explorationPerSecond = std::chrono::milliseconds(250);
+    duration explorationPerSecond = std::chrono::milliseconds(200);
     duration longestExploration = std::chrono::milliseconds(2500);
     // Cost of meeting an upstream that shed load a moment ago.
     duration shedCost = std::chrono::milliseconds(300);
@@ -112,12 +114,19 @@
     double coldFactor = 2;
     // Random part of the cost that keeps hosts from choosing alike.
     double jitter = 0.1;
+    // Largest cost by which a host prefers some upstreams to others, each host
+    // different ones, as part of the latency. It keeps hosts that see the same from
+    // meeting at the same upstream.
+    double preferenceCost = 0.4;
     // This host avoids an upstream that it cannot reach for this long, twice as
     // long with each further failure.
     duration firstAvoidance = std::chrono::milliseconds(500);
     duration longestAvoidance = std::chrono::seconds(4);
     // What a host said of its work in flight is forgotten after this time.
     duration sightLimit = std::chrono::milliseconds(1500);
+    // Part of an upstream's slots from which neighbours should hear at once that one
+    // more is taken.
+    double busyPart = 0.99;
     // Requests that may be queued at an upstream for each of its slots.
     double longestQueuePerSlot = 3;
 };
@@ -158,8 +167,10 @@
 
 class upstream_choice {
 public:
-    upstream_choice(choice_settings settings, std::string dataCentre, region_map regions)
+    // The seed tells hosts apart.
+    upstream_choice(choice_settings settings, std::string dataCentre, region_map regions, std::uint64_t seed = 0)
         : m_settings(settings)
+        , m_seed(seed)
         , m_dataCentre(std::move(dataCentre))
         , m_regions(std::move(regions))
     {
@@ -178,7 +189,8 @@
     // Ends a request in flight that says nothing about the upstream.
     void release(const std::string& id);
 
-    // Takes in evidence of another host.
+    // Takes in evidence of another host. It does not count as a use of the upstream,
+    // so that each host goes on finding out for itself.
     void noteRemote(const std::string& id, work_result, duration latency, instant now);
 
     // Replaces what another host of the data centre has in flight.
@@ -202,13 +214,15 @@
     struct row {
         directory_entry entry;
         distance_tier tier = distance_tier::SameDataCentre;
+        // Where it stands in this host's preference, from 0 for the first to 1.
+        double preference = 0;
         unsigned ownInFlight = 0;
         // Invariant: the sum of what all peers have in flight there.
         unsigned peersInFlight = 0;
         // Probability that it is failing, as of an instant.
         double failing = 0;
         instant failingAt = longAgo;
-        // Latest use by any host that told of it.
+        // Latest use by this host.
         instant usedAt = longAgo;
         // Average latency in seconds relative to its service.
         double slowness = 1;
@@ -242,6 +256,7 @@
     distance_tier tierOf(const std::string& dataCentre) const;
 
     choice_settings m_settings;
+    std::uint64_t m_seed;
     std::string m_dataCentre;
     region_map m_regions;
     std::map<std::string, row> m_rows;
--- a/Source/Generated/neighbour.pb.cxx
+++ b/Source/Generated/neighbour.pb.cxx
@@ -39,7 +39,8 @@
 PROTOBUF_CONSTEXPR Admitted::Admitted(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.team_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
-  , /*decltype(_impl_.count_)*/uint64_t{0u}
+  , /*decltype(_impl_.total_)*/uint64_t{0u}
+  , /*decltype(_impl_.before_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct AdmittedDefaultTypeInternal {
   PROTOBUF_CONSTEXPR AdmittedDefaultTypeInternal()
@@ -199,7 +200,8 @@
   ~0u,  // no _weak_field_map_
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Admitted, _impl_.team_),
-  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Admitted, _impl_.count_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Admitted, _impl_.total_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Admitted, _impl_.before_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::RemoteSample, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -283,14 +285,14 @@
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
   { 0, -1, -1, sizeof(::almondmoor::wire::InFlight)},
   { 8, -1, -1, sizeof(::almondmoor::wire::Admitted)},
-  { 16, -1, -1, sizeof(::almondmoor::wire::RemoteSample)},
-  { 26, -1, -1, sizeof(::almondmoor::wire::NeighbourReport)},
-  { 42, -1, -1, sizeof(::almondmoor::wire::Confirmation)},
-  { 50, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
-  { 60, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
-  { 67, -1, -1, sizeof(::almondmoor::wire::TableReading)},
-  { 78, -1, -1, sizeof(::almondmoor::wire::Datagram)},
-  { 87, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
+  { 17, -1, -1, sizeof(::almondmoor::wire::RemoteSample)},
+  { 27, -1, -1, sizeof(::almondmoor::wire::NeighbourReport)},
+  { 43, -1, -1, sizeof(::almondmoor::wire::Confirmation)},
+  { 51, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
+  { 61, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
+  { 68, -1, -1, sizeof(::almondmoor::wire::TableReading)},
+  { 79, -1, -1, sizeof(::almondmoor::wire::Datagram)},
+  { 88, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -309,34 +311,34 @@
 const char descriptor_table_protodef_neighbour_2eproto[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) =
   "\n\017neighbour.proto\022\017almondmoor.wire\"+\n\010In"
   "Flight\022\020\n\010upstream\030\001 \001(\t\022\r\n\005count\030\002 \001(\r\""
-  "\'\n\010Admitted\022\014\n\004team\030\001 \001(\t\022\r\n\005count\030\002 \001(\004"
-  "\"Y\n\014RemoteSample\022\020\n\010upstream\030\001 \001(\t\022\016\n\006re"
-  "sult\030\002 \001(\r\022\022\n\nlatency_ms\030\003 \001(\r\022\023\n\013finger"
-  "print\030\004 \001(\006\"\301\002\n\017NeighbourReport\022\014\n\004host\030"
-  "\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\017\n\007address\030\003 "
-  "\001(\t\022\023\n\013incarnation\030\004 \001(\004\022\020\n\010sequence\030\005 \001"
-  "(\004\022,\n\tin_flight\030\006 \003(\0132\031.almondmoor.wire."
-  "InFlight\022+\n\010admitted\030\007 \003(\0132\031.almondmoor."
-  "wire.Admitted\022.\n\007samples\030\010 \003(\0132\035.almondm"
-  "oor.wire.RemoteSample\022\023\n\013quarantined\030\t \003"
-  "(\006\0223\n\014confirmation\030\n \001(\0132\035.almondmoor.wi"
-  "re.Confirmation\"2\n\014Confirmation\022\016\n\006age_m"
-  "s\030\001 \001(\r\022\022\n\nchanged_at\030\002 \003(\004\"L\n\tStoredRow"
-  "\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\017\n\007version\030"
-  "\003 \001(\004\022\022\n\nis_removed\030\004 \001(\010\"6\n\nStoredRows\022"
-  "(\n\004rows\030\001 \003(\0132\032.almondmoor.wire.StoredRo"
-  "w\"d\n\014TableReading\022\r\n\005table\030\001 \001(\r\022\020\n\010was_"
-  "away\030\002 \001(\010\022\r\n\005after\030\003 \001(\004\022\017\n\007version\030\004 \001"
-  "(\004\022\023\n\013packed_rows\030\005 \001(\014\"{\n\010Datagram\0222\n\006r"
-  "eport\030\001 \001(\0132 .almondmoor.wire.NeighbourR"
-  "eportH\000\0220\n\007reading\030\002 \001(\0132\035.almondmoor.wi"
-  "re.TableReadingH\000B\t\n\007content\"3\n\013RosterEn"
-  "try\022\017\n\007address\030\001 \001(\t\022\023\n\013data_centre\030\002 \001("
-  "\tb\006proto3"
+  "7\n\010Admitted\022\014\n\004team\030\001 \001(\t\022\r\n\005total\030\002 \001(\004"
+  "\022\016\n\006before\030\003 \001(\004\"Y\n\014RemoteSample\022\020\n\010upst"
+  "ream\030\001 \001(\t\022\016\n\006result\030\002 \001(\r\022\022\n\nlatency_ms"
+  "\030\003 \001(\r\022\023\n\013fingerprint\030\004 \001(\006\"\301\002\n\017Neighbou"
+  "rReport\022\014\n\004host\030\001 \001(\t\022\023\n\013data_centre\030\002 \001"
+  "(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\004"
+  "\022\020\n\010sequence\030\005 \001(\004\022,\n\tin_flight\030\006 \003(\0132\031."
+  "almondmoor.wire.InFlight\022+\n\010admitted\030\007 \003"
+  "(\0132\031.almondmoor.wire.Admitted\022.\n\007samples"
+  "\030\010 \003(\0132\035.almondmoor.wire.RemoteSample\022\023\n"
+  "\013quarantined\030\t \003(\006\0223\n\014confirmation\030\n \001(\013"
+  "2\035.almondmoor.wire.Confirmation\"2\n\014Confi"
+  "rmation\022\016\n\006age_ms\030\001 \001(\r\022\022\n\nchanged_at\030\002 "
+  "\003(\004\"L\n\tStoredRow\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002"
+  " \001(\014\022\017\n\007version\030\003 \001(\004\022\022\n\nis_removed\030\004 \001("
+  "\010\"6\n\nStoredRows\022(\n\004rows\030\001 \003(\0132\032.almondmo"
+  "or.wire.StoredRow\"d\n\014TableReading\022\r\n\005tab"
+  "le\030\001 \001(\r\022\020\n\010was_away\030\002 \001(\010\022\r\n\005after\030\003 \001("
+  "\004\022\017\n\007version\030\004 \001(\004\022\023\n\013packed_rows\030\005 \001(\014\""
+  "{\n\010Datagram\0222\n\006report\030\001 \001(\0132 .almondmoor"
+  ".wire.NeighbourReportH\000\0220\n\007reading\030\002 \001(\013"
+  "2\035.almondmoor.wire.TableReadingH\000B\t\n\007con"
+  "tent\"3\n\013RosterEntry\022\017\n\007address\030\001 \001(\t\022\023\n\013"
+  "data_centre\030\002 \001(\tb\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_neighbour_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_neighbour_2eproto = {
-    false, false, 1009, descriptor_table_protodef_neighbour_2eproto,
+    false, false, 1025, descriptor_table_protodef_neighbour_2eproto,
     "neighbour.proto",
     &descriptor_table_neighbour_2eproto_once, nullptr, 0, 10,
     schemas, file_default_instances, TableStruct_neighbour_2eproto::offsets,
@@ -599,7 +601,8 @@
   Admitted* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.team_){}
-    , decltype(_impl_.count_){}
+    , decltype(_impl_.total_){}
+    , decltype(_impl_.before_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -611,7 +614,9 @@
     _this->_impl_.team_.Set(from._internal_team(), 
       _this->GetArenaForAllocation());
   }
-  _this->_impl_.count_ = from._impl_.count_;
+  ::memcpy(&_impl_.total_, &from._impl_.total_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.before_) -
+    reinterpret_cast<char*>(&_impl_.total_)) + sizeof(_impl_.before_));
   // @@protoc_insertion_point(copy_constructor:almondmoor.wire.Admitted)
 }
 
@@ -621,7 +626,8 @@
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.team_){}
-    , decltype(_impl_.count_){uint64_t{0u}}
+    , decltype(_impl_.total_){uint64_t{0u}}
+    , decltype(_impl_.before_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.team_.InitDefault();
@@ -655,7 +661,9 @@
   (void) cached_has_bits;
 
   _impl_.team_.ClearToEmpty();
-  _impl_.count_ = uint64_t{0u};
+  ::memset(&_impl_.total_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.before_) -
+      reinterpret_cast<char*>(&_impl_.total_)) + sizeof(_impl_.before_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -675,10 +683,18 @@
         } else
           goto handle_unusual;
         continue;
-      // uint64 count = 2;
+      // uint64 total = 2;
       case 2:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
-          _impl_.count_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          _impl_.total_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint64 before = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.before_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
           CHK_(ptr);
         } else
           goto handle_unusual;
@@ -722,10 +738,16 @@
         1, this->_internal_team(), target);
   }
 
-  // uint64 count = 2;
-  if (this->_internal_count() != 0) {
+  // uint64 total = 2;
+  if (this->_internal_total() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_total(), target);
+  }
+
+  // uint64 before = 3;
+  if (this->_internal_before() != 0) {
     target = stream->EnsureSpace(target);
-    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(2, this->_internal_count(), target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_before(), target);
   }
 
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
@@ -751,9 +773,14 @@
         this->_internal_team());
   }
 
-  // uint64 count = 2;
-  if (this->_internal_count() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_count());
+  // uint64 total = 2;
+  if (this->_internal_total() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_total());
+  }
+
+  // uint64 before = 3;
+  if (this->_internal_before() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_before());
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
@@ -777,8 +804,11 @@
   if (!from._internal_team().empty()) {
     _this->_internal_set_team(from._internal_team());
   }
-  if (from._internal_count() != 0) {
-    _this->_internal_set_count(from._internal_count());
+  if (from._internal_total() != 0) {
+    _this->_internal_set_total(from._internal_total());
+  }
+  if (from._internal_before() != 0) {
+    _this->_internal_set_before(from._internal_before());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
@@ -803,7 +833,12 @@
       &_impl_.team_, lhs_arena,
       &other->_impl_.team_, rhs_arena
   );
-  swap(_impl_.count_, other->_impl_.count_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(Admitted, _impl_.before_)
+      + sizeof(Admitted::_impl_.before_)
+      - PROTOBUF_FIELD_OFFSET(Admitted, _impl_.total_)>(
+          reinterpret_cast<char*>(&_impl_.total_),
+          reinterpret_cast<char*>(&other->_impl_.total_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata Admitted::GetMetadata() const {
--- a/Source/fleet_feeds.h
+++ b/Source/fleet_feeds.h
@@ -221,7 +221,7 @@
             const std::lock_guard lock(m_mutex);
             m_confirmedAt = presentInstant();
         }
-        m_link.announce(true);
+        m_link.announce(news_urgency::High);
     }
 
     // Reads what neighbours know and this host does not, if it stays missing.
--- a/Source/neighbour_codec.cxx
+++ b/Source/neighbour_codec.cxx
@@ -67,7 +67,7 @@
         for (const auto& entry : in.in_flight())
             report.inFlight[entry.upstream()] = entry.count();
         for (const auto& entry : in.admitted())
-            report.admitted[entry.team()] = entry.count();
+            report.admitted[entry.team()] = { entry.total(), entry.before() };
         for (const auto& entry : in.samples()) {
             if (entry.result() >= workResultNames.size())
                 return std::nullopt;
@@ -114,7 +114,8 @@
     for (const auto& [team, count] : report.admitted) {
         auto* entry = out.add_admitted();
         entry->set_team(team);
-        entry->set_count(count);
+        entry->set_total(count.total);
+        entry->set_before(count.before);
     }
     for (const neighbour_sample& sample : report.samples) {
         auto* entry = out.add_samples();
@@ -150,10 +151,10 @@
     return datagram.SerializeAsString();
 }
 
-std::optional<neighbour_datagram> decodeDatagram(const std::string& bytes, instant now)
+std::optional<neighbour_datagram> decodeDatagram(std::string_view bytes, instant now)
 {
     wire::Datagram in;
-    if (!in.ParseFromString(bytes))
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return std::nullopt;
     if (in.has_report())
         return decodeReport(in.report(), now);
--- a/Source/neighbour_codec.h
+++ b/Source/neighbour_codec.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace almondmoor {
@@ -37,7 +38,7 @@
 std::string encodeReading(const table_reading&);
 
 // Returns nothing for bytes that are no datagram of a host.
-std::optional<neighbour_datagram> decodeDatagram(const std::string& bytes, instant now);
+std::optional<neighbour_datagram> decodeDatagram(std::string_view bytes, instant now);
 
 std::string encodeRosterEntry(const roster_entry&);
 
--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -8,18 +8,16 @@
 #include <Poco/Timespan.h>
 #include <absl/strings/str_cat.h>
 #include <array>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace almondmoor {
 
 namespace {
 
     constexpr std::size_t largestDatagram = 65507;
-    // Reports are not sent more often than this.
-    constexpr duration leastInterval = std::chrono::milliseconds(4);
-    // News that is not urgent waits about this long for the next wake-up.
-    constexpr duration newsInterval = std::chrono::milliseconds(60);
-    // A report goes out at least this often.
-    constexpr duration heartbeatInterval = std::chrono::milliseconds(700);
+    // Datagrams that are taken in before anything else is looked at.
+    constexpr int mostAtOnce = 16;
     constexpr duration tickInterval = std::chrono::milliseconds(250);
 
 } // namespace
@@ -58,10 +56,13 @@
     send();
 }
 
-void neighbour_link::announce(bool isUrgent)
+void neighbour_link::announce(news_urgency urgency)
 {
-    m_hasNews = true;
-    if (isUrgent && presentInstant() - m_sentAt.load() >= leastInterval)
+    const bool isDue = [&] {
+        const std::lock_guard lock(m_pacingMutex);
+        return m_pacing.noteNews(urgency, presentInstant());
+    }();
+    if (isDue)
         send();
 }
 
@@ -69,32 +70,36 @@
 {
     instant tickedAt = longAgo;
     while (!m_isStopping) {
-        const bool isReadable = m_socket.poll(Poco::Timespan(tickInterval.count()), Poco::Net::Socket::SELECT_READ);
-        if (isReadable)
+        if (m_socket.poll(Poco::Timespan(tickInterval.count()), Poco::Net::Socket::SELECT_READ))
             receive();
         const instant now = presentInstant();
         if (now - tickedAt >= tickInterval) {
             tickedAt = now;
             m_runtime.tick();
         }
-        const duration sinceSent = now - m_sentAt.load();
-        if (sinceSent >= heartbeatInterval || (m_hasNews && sinceSent >= newsInterval))
+        const bool isDue = [&] {
+            const std::lock_guard lock(m_pacingMutex);
+            return now >= m_pacing.dueAt();
+        }();
+        if (isDue)
             send();
     }
 }
 
 void neighbour_link::receive()
 {
-    std::string bytes(largestDatagram, '\0');
-    try {
-        const int count = m_socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-        bytes.resize(static_cast<std::size_t>(std::max(0, count)));
-    } catch (const Poco::Exception&) {
-        // An earlier datagram found no receiver; that host is gone or not up yet.
-        m_runtime.counters().add(event::PeerFailures);
-        return;
+    m_received.resize(largestDatagram);
+    for (int count = 0; count < mostAtOnce; ++count) {
+        const auto size = ::recv(m_socket.impl()->sockfd(), m_received.data(), m_received.size(), MSG_DONTWAIT);
+        if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            return;
+        if (size < 0) {
+            // An earlier datagram found no receiver; that host is gone or not up yet.
+            m_runtime.counters().add(event::PeerFailures);
+            continue;
+        }
+        take(std::string_view(m_received.data(), static_cast<std::size_t>(size)));
     }
-    take(bytes);
 }
 
 void neighbour_link::setReadingHandlers(reading_handlers handlers)
@@ -112,7 +117,7 @@
     sendToNeighbours(bytes);
 }
 
-void neighbour_link::take(const std::string& bytes)
+void neighbour_link::take(std::string_view bytes)
 {
     const instant now = presentInstant();
     const auto datagram = decodeDatagram(bytes, now);
@@ -139,7 +144,7 @@
     if (report.dataCentre != m_runtime.settings().dataCentre) {
         const dispatch_core::notice notice { report.samples, report.quarantined };
         m_runtime.withCore([&](dispatch_core& it) { it.noteNotice(notice, now); });
-        announce(true);
+        announce(news_urgency::High);
         return;
     }
     m_runtime.withCore([&](dispatch_core& it) { it.noteReport(report, now); });
@@ -165,13 +170,16 @@
 
 void neighbour_link::send()
 {
-    m_sentAt = presentInstant();
-    m_hasNews = false;
+    const instant now = presentInstant();
+    {
+        const std::lock_guard lock(m_pacingMutex);
+        m_pacing.noteSent(now);
+    }
     const std::lock_guard lock(m_mutex);
     dispatch_core::notice notice;
-    neighbour_report state = m_runtime.withCore([&notice](dispatch_core& it) {
+    neighbour_report state = m_runtime.withCore([&](dispatch_core& it) {
         notice = it.takeNotice();
-        return it.takeReport();
+        return it.takeReport(now);
     });
     neighbour_report report = signedReport();
     report.sequence = ++m_sequence;
@@ -182,7 +190,7 @@
     report.quarantined.insert(report.quarantined.end(), notice.quarantined.begin(), notice.quarantined.end());
     if (m_readings.confirmation)
         report.confirmation = m_readings.confirmation();
-    sendToNeighbours(encodeReport(report, presentInstant()));
+    sendToNeighbours(encodeReport(report, now));
     if (!notice.isEmpty())
         sendNotice(notice);
 }
--- a/Source/neighbour_link.h
+++ b/Source/neighbour_link.h
@@ -10,6 +10,7 @@
 
 #pragma once
 
+#include "Core/report_pacing.h"
 #include "proxy_runtime.h"
 
 #include <Poco/Net/DatagramSocket.h>
@@ -19,6 +20,7 @@
 #include <mutex>
 #include <random>
 #include <string>
+#include <string_view>
 #include <thread>
 
 namespace almondmoor {
@@ -54,14 +56,15 @@
     // Passes a reading on to the neighbours, unless it is too large for a datagram.
     void passOn(const table_reading&);
 
-    // Sends a report at once if the change is urgent and none went out a moment
-    // ago, and otherwise soon.
-    void announce(bool isUrgent);
+    // Notes that there is something to tell. What is urgent goes out at once, unless
+    // a report went out a moment ago.
+    void announce(news_urgency);
 
 private:
     void run();
+    // Takes in the datagrams that are here, some at a time.
     void receive();
-    void take(const std::string& bytes);
+    void take(std::string_view bytes);
     void takeReport(const neighbour_report&, instant now);
     void sendToNeighbours(const std::string& bytes);
     // Sends a report to the neighbours and, if there is one, a notice to a host of
@@ -78,8 +81,10 @@
     reading_handlers m_readings;
     std::uint64_t m_sequence = 0;
     std::mt19937_64 m_random;
-    std::atomic<instant> m_sentAt { longAgo };
-    std::atomic<bool> m_hasNews { false };
+    std::mutex m_pacingMutex;
+    report_pacing m_pacing;
+    // Used by the thread only.
+    std::string m_received;
     std::atomic<bool> m_isStopping { false };
     std::thread m_thread;
 };
--- a/Source/proxy_runtime.cxx
+++ b/Source/proxy_runtime.cxx
@@ -127,10 +127,10 @@
     m_upstreams.closeIdle();
 }
 
-void proxy_runtime::announce(bool isUrgent) const
+void proxy_runtime::announce(news_urgency urgency) const
 {
     if (m_announcer)
-        m_announcer(isUrgent);
+        m_announcer(urgency);
 }
 
 bool proxy_runtime::isStarting() const
--- a/Source/proxy_runtime.h
+++ b/Source/proxy_runtime.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "Core/dispatch_core.h"
+#include "Core/report_pacing.h"
 #include "Core/upstream_book.h"
 #include "Platform/table_follower.h"
 #include "metrics.h"
@@ -73,10 +74,9 @@
     // Does what is due: entries that lapse, idle connections, silent neighbours.
     void tick();
 
-    // Tells the neighbours of a change, by the function set at start. A change that
-    // is not urgent may wait for the next report.
-    void announce(bool isUrgent) const;
-    void setAnnouncer(std::function<void(bool)> announcer) { m_announcer = std::move(announcer); }
+    // Tells the neighbours of a change, by the function set at start.
+    void announce(news_urgency) const;
+    void setAnnouncer(std::function<void(news_urgency)> announcer) { m_announcer = std::move(announcer); }
 
     // Called with the limits for guests of each new plan.
     void setLimitsHandler(std::function<void(const guest_limits&)> handler) { m_onLimits = std::move(handler); }
@@ -119,7 +119,7 @@
     upstream_book m_book;
     std::atomic<bool> m_hasDirectory { false };
     std::atomic<stop_phase> m_phase { stop_phase::Running };
-    std::function<void(bool)> m_announcer;
+    std::function<void(news_urgency)> m_announcer;
     std::function<void(const guest_limits&)> m_onLimits;
     std::mutex m_coreMutex;
     dispatch_core m_core;
--- a/Source/route_handler.cxx
+++ b/Source/route_handler.cxx
@@ -225,7 +225,7 @@
     m_hasToken = m_runtime.withCore([&](dispatch_core& it) {
         const bool isTaken = it.takeToken(m_team, now);
         next = isTaken ? duration::zero() : it.nextTokenIn(m_team, now);
-        m_isUrgent = it.isScarce(m_team);
+        m_urgency = it.isScarce(m_team) ? news_urgency::Raised : news_urgency::Low;
         return isTaken;
     });
     if (!m_hasToken) {
@@ -283,10 +283,11 @@
             m_roomIn = std::max(defaultRetryAfter, result.roomIn);
             break;
         }
-        m_isUrgent = m_isUrgent || result.isBusy;
-        m_runtime.announce(m_isUrgent);
+        if (result.isBusy)
+            m_urgency = news_urgency::High;
+        m_runtime.announce(m_urgency);
         goesOn = attemptOnce(*chosen, result);
-        m_runtime.announce(m_isUrgent);
+        m_runtime.announce(m_urgency);
     }
     if (!m_isAnswered)
         refuse(m_lastFailure, m_lastDetail, m_roomIn);
@@ -523,7 +524,8 @@
 void route_handler::noteAttempt(const directory_entry& upstream, exchange_end end, const upstream_exchange& exchange, duration waited)
 {
     const auto result = resultOf(end, exchange, waited);
-    m_isUrgent = m_isUrgent || result != work_result::Good;
+    if (result != work_result::Good)
+        m_urgency = news_urgency::High;
     m_runtime.withCore([&](dispatch_core& it) {
         if (result)
             it.finishAttempt({ upstream.id, *result, waited, m_fingerprint }, presentInstant());
--- a/Source/route_handler.h
+++ b/Source/route_handler.h
@@ -91,8 +91,8 @@
     // What became of each attempt, for the log.
     std::string m_story;
     duration m_upstreamTime {};
-    // Whether neighbours should hear of this request at once.
-    bool m_isUrgent = false;
+    // How soon neighbours should hear of this request.
+    news_urgency m_urgency = news_urgency::Low;
     connection_fate m_fate = connection_fate::Keep;
     bool m_isAnswered = false;
 };
--- a/Tests/Core/dispatch_core_test.cxx
+++ b/Tests/Core/dispatch_core_test.cxx
@@ -72,9 +72,9 @@
     far.noteNotice(notice, begin);
     CHECK(far.isQuarantined(fingerprint, begin));
     // The host that was told passes it on.
-    CHECK(far.takeReport().quarantined == std::vector<std::uint64_t> { fingerprint });
+    CHECK(far.takeReport(begin).quarantined == std::vector<std::uint64_t> { fingerprint });
 
-    neighbour_report report = core.takeReport();
+    neighbour_report report = core.takeReport(begin);
     report.incarnation = 1;
     report.sequence = 1;
     neighbour.noteReport(report, begin);
@@ -91,7 +91,7 @@
     CHECK(notice.failures[0].upstream == "u0");
     dispatch_core far = coreOf("c", "d2");
     far.noteNotice(notice, begin);
-    CHECK(far.takeReport().samples.size() == 1);
+    CHECK(far.takeReport(begin).samples.size() == 1);
 }
 
 TEST_CASE("reports that arrive out of order or from an earlier start are dropped", "[dispatch]")
@@ -118,4 +118,40 @@
     }
 }
 
+TEST_CASE("reports name only teams that moved of late, and lose none of their requests", "[dispatch]")
+{
+    serving_plan plan;
+    plan.teams["shop"] = { "shop", 10, 100, std::nullopt };
+    plan.teams["idle"] = { "idle", 10, 100, std::nullopt };
+    dispatch_core sender = coreOf("a", "d1");
+    dispatch_core neighbour = coreOf("b", "d1");
+    instant now = begin;
+    sender.adoptPlan(plan, now);
+    std::uint64_t sequence = 0;
+    const auto reportAfter = [&](unsigned requests, duration pause, bool isDelivered) {
+        for (unsigned index = 0; index < requests; ++index)
+            REQUIRE(sender.takeToken("shop", now));
+        neighbour_report report = sender.takeReport(now);
+        report.incarnation = 1;
+        report.sequence = ++sequence;
+        if (isDelivered)
+            neighbour.noteReport(report, now);
+        now += pause;
+        return report;
+    };
+    // The neighbour hears the sender first while the team is still.
+    reportAfter(3, std::chrono::seconds(5), false);
+    CHECK(reportAfter(0, std::chrono::seconds(1), true).admitted.empty());
+    neighbour.adoptPlan(plan, now);
+    const duration before = neighbour.nextTokenIn("shop", now);
+    CHECK(before == duration::zero());
+    // One report of the new series is lost; the next one makes it good.
+    reportAfter(20, std::chrono::milliseconds(100), false);
+    const neighbour_report last = reportAfter(13, duration::zero(), true);
+    REQUIRE(last.admitted.size() == 1);
+    CHECK(last.admitted.at("shop") == admitted_count { 36, 3 });
+    // A new host's bucket holds 30 tokens; 33 were admitted elsewhere.
+    CHECK(neighbour.nextTokenIn("shop", now) > duration::zero());
+}
+
 } // namespace almondmoor
--- a/Tests/Core/team_quota_test.cxx
+++ b/Tests/Core/team_quota_test.cxx
@@ -107,7 +107,7 @@
         void report()
         {
             for (std::size_t from = 0; from < m_hosts.size(); ++from) {
-                neighbour_report report = m_hosts[from].core->takeReport();
+                neighbour_report report = m_hosts[from].core->takeReport(now);
                 report.incarnation = m_hosts[from].incarnation;
                 report.sequence = ++m_hosts[from].sequence;
                 for (std::size_t to = 0; to < m_hosts.size(); ++to) {
@@ -193,7 +193,7 @@
     unsigned admitted = 0;
     std::uint64_t sequence = 0;
     for (int index = 0; index < 1000; ++index) {
-        neighbour_report report = idle.takeReport();
+        neighbour_report report = idle.takeReport(now);
         report.incarnation = 1;
         report.sequence = ++sequence;
         busy.noteReport(report, now);
@@ -214,7 +214,7 @@
         it->adoptPlan(planWith(10, 10), now);
     }
     const auto send = [&](std::uint64_t sequence, bool isLost) {
-        neighbour_report report = sender.takeReport();
+        neighbour_report report = sender.takeReport(now);
         report.incarnation = 1;
         report.sequence = sequence;
         if (!isLost)
--- a/Tests/Core/upstream_choice_test.cxx
+++ b/Tests/Core/upstream_choice_test.cxx
@@ -5,6 +5,9 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <map>
+#include <string>
+#include <vector>
 
 namespace almondmoor {
 
@@ -225,4 +228,39 @@
     }
 }
 
+TEST_CASE("pattern: hosts that hear the same do not meet at one upstream", "[choice]")
+{
+    constexpr unsigned hosts = 18;
+    constexpr unsigned upstreams = 42;
+    constexpr unsigned slots = 3;
+    upstream_directory directory;
+    for (unsigned index = 0; index < upstreams; ++index) {
+        const directory_entry it = entry("i-" + std::to_string(index), "lag-1", slots);
+        directory[it.id] = it;
+    }
+    instant now { std::chrono::hours(1) };
+    std::vector<upstream_choice> choices;
+    for (unsigned host = 0; host < hosts; ++host) {
+        choices.emplace_back(choice_settings {}, "lag-1", regions, host);
+        choices.back().adopt(directory, now);
+    }
+    // A neighbour was at each but the first of late, and all hear of it.
+    now += ms(2000);
+    for (unsigned index = 1; index < upstreams; ++index) {
+        for (upstream_choice& it : choices)
+            it.noteRemote("i-" + std::to_string(index), work_result::Good, ms(150), now);
+    }
+    for (const bool mayFail : { true, false }) {
+        std::map<std::string, unsigned> counts;
+        for (unsigned host = 0; host < hosts; ++host) {
+            std::mt19937_64 random(host);
+            const choice_result it = choices[host].choose({ "orders", mayFail, nullptr, ms(1500), ms(600) }, now, random);
+            REQUIRE(it.upstream);
+            ++counts[it.upstream->id];
+        }
+        for (const auto& [id, count] : counts)
+            CHECK(count <= slots);
+    }
+}
+
 } // namespace almondmoor
--- a/Tests/Proxy/fleet_feeds_test.cxx
+++ b/Tests/Proxy/fleet_feeds_test.cxx
@@ -117,7 +117,7 @@
             , link(runtime)
             , feeds(runtime, link, sourceOf(rows, index))
         {
-            runtime.setAnnouncer([this](bool isUrgent) { link.announce(isUrgent); });
+            runtime.setAnnouncer([this](news_urgency urgency) { link.announce(urgency); });
             link.start();
             feeds.start();
         }
