--- a/Source/Core/dispatch_core.cxx
+++ b/Source/Core/dispatch_core.cxx
@@ -73,15 +73,14 @@
 
 void dispatch_core::finishAttempt(const attempt_report& report, instant now)
 {
-    const bool beganToFail = m_choice.finish(report.upstream, report.result, report.latency, now);
+    const finish_audience audience = m_choice.finish(report.upstream, report.result, report.latency, now);
     if (report.result == work_result::Crashed)
         noteCrash(report.fingerprint, report.upstream, now);
-    // Whether this host can reach an upstream says nothing to the others.
-    if (report.result == work_result::Unreachable)
+    if (audience == finish_audience::Nobody)
         return;
     const neighbour_sample sample { report.upstream, report.result, report.latency, report.result == work_result::Crashed ? report.fingerprint : 0 };
     m_samples.push_back(sample);
-    if (beganToFail)
+    if (audience == finish_audience::Fleet)
         m_notice.failures.push_back(sample);
 }
 
--- a/Source/Core/neighbour_report.h
+++ b/Source/Core/neighbour_report.h
@@ -48,7 +48,7 @@
     std::map<std::string, unsigned> inFlight;
     // Admissions by team, of teams for which they changed of late.
     std::map<std::string, admitted_count> admitted;
-    // Attempts that ended since the last report.
+    // Attempts that ended since the last report, as far as others should know.
     std::vector<neighbour_sample> samples;
     // Fingerprints of requests that no host should dispatch any more.
     std::vector<std::uint64_t> quarantined;
--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -194,27 +194,39 @@
     }
 }
 
-bool upstream_choice::finish(const std::string& id, work_result result, duration latency, instant now)
+bool upstream_choice::isUnexpected(const row& it, work_result result, duration latency) const
+{
+    if (result != work_result::Good || it.failing >= m_settings.suspectProbability)
+        return true;
+    const double relative = toSeconds(latency) / serviceLatency(it.entry.service);
+    return relative >= m_settings.slowAnswerFactor || it.slowness >= m_settings.slowUpstreamFactor;
+}
+
+finish_audience upstream_choice::finish(const std::string& id, work_result result, duration latency, instant now)
 {
     const auto found = m_rows.find(id);
     if (found == m_rows.end())
-        return false;
+        return finish_audience::Nobody;
     row& it = found->second;
     release(id);
     age(it, now);
     const double before = it.failing;
+    const bool isNews = isUnexpected(it, result, latency);
     note(it, result, latency, now);
     if (result == work_result::Good) {
         double& average = m_serviceLatency[it.entry.service];
         average = averaged(average, toSeconds(latency), serviceLatencyWeight);
     }
-    if (result != work_result::Unreachable) {
-        it.failedConnects = 0;
-        return before < looksFailing && it.failing >= looksFailing;
+    if (result == work_result::Unreachable) {
+        // Whether this host can reach an upstream says nothing to the others.
+        const unsigned doublings = std::min(it.failedConnects++, 8U);
+        it.avoidUntil = now + std::min(m_settings.firstAvoidance * (1 << doublings), m_settings.longestAvoidance);
+        return finish_audience::Nobody;
     }
-    const unsigned doublings = std::min(it.failedConnects++, 8U);
-    it.avoidUntil = now + std::min(m_settings.firstAvoidance * (1 << doublings), m_settings.longestAvoidance);
-    return false;
+    it.failedConnects = 0;
+    if (before < looksFailing && it.failing >= looksFailing)
+        return finish_audience::Fleet;
+    return isNews ? finish_audience::DataCentre : finish_audience::Nobody;
 }
 
 void upstream_choice::release(const std::string& id)
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -118,6 +118,13 @@
     // different ones, as part of the latency. It keeps hosts that see the same from
     // meeting at the same upstream.
     double preferenceCost = 0.4;
+    // Neighbours hear of a good answer if the upstream was believed to be failing
+    // with this probability or more, or if its latency is this multiple of the usual
+    // or its average latency was. Hosts that all heard of all good answers would
+    // crowd the upstreams that gave the latest.
+    double suspectProbability = 0.2;
+    double slowAnswerFactor = 4;
+    double slowUpstreamFactor = 2;
     // This host avoids an upstream that it cannot reach for this long, twice as
     // long with each further failure.
     duration firstAvoidance = std::chrono::milliseconds(500);
@@ -165,6 +172,15 @@
     duration roomIn {};
 };
 
+// Who should hear how an attempt ended.
+enum class finish_audience {
+    Nobody,
+    // It is not what hosts of the same data centre expect.
+    DataCentre,
+    // The upstream looks failing by now and did not before.
+    Fleet
+};
+
 class upstream_choice {
 public:
     // The seed tells hosts apart.
@@ -182,9 +198,9 @@
     // Chooses an upstream and counts a request in flight there.
     choice_result choose(const choice_question&, instant now, std::mt19937_64& random);
 
-    // Ends a request in flight, and takes in what became of it. Returns whether
-    // the upstream looks failing by now and did not before.
-    bool finish(const std::string& id, work_result, duration latency, instant now);
+    // Ends a request in flight, and takes in what became of it. Returns who should
+    // hear of it.
+    finish_audience finish(const std::string& id, work_result, duration latency, instant now);
 
     // Ends a request in flight that says nothing about the upstream.
     void release(const std::string& id);
@@ -240,6 +256,8 @@
     };
 
     void note(row&, work_result, duration latency, instant now) const;
+    // Returns whether a result is not what is believed of the upstream.
+    bool isUnexpected(const row&, work_result, duration latency) const;
     // Returns the probability that an upstream of which nothing is known is failing.
     double commonProbability() const;
     // Moves what is believed of an upstream on to an instant.
