Reports: Bound what a host takes in when everything fails

Change: a neighbour sends a few reports of high urgency in series, then no more than its part of 110 a second that each host takes in; a team's allowance that runs short is told every 40 ms as before, since the bound on quotas rests on it.

--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -7,6 +7,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <sys/socket.h>
@@ -52,6 +53,7 @@
         const std::lock_guard lock(m_mutex);
         for (const auto& [name, entry] : roster)
             m_hosts[name] = entry;
+        countNeighbours();
     }
     send();
 }
@@ -150,7 +152,8 @@
     m_runtime.withCore([&](dispatch_core& it) { it.noteReport(report, now); });
     const auto heard = [&] {
         const std::lock_guard lock(m_mutex);
-        m_hosts[report.host] = { report.address, report.dataCentre };
+        if (m_hosts.insert_or_assign(report.host, roster_entry { report.address, report.dataCentre }).second)
+            countNeighbours();
         return m_readings.heard;
     }();
     if (heard)
@@ -195,6 +198,14 @@
         sendNotice(notice);
 }
 
+void neighbour_link::countNeighbours()
+{
+    const auto isNear = [this](const auto& it) { return it.second.dataCentre == m_runtime.settings().dataCentre; };
+    const auto near = std::count_if(m_hosts.begin(), m_hosts.end(), isNear);
+    const std::lock_guard lock(m_pacingMutex);
+    m_pacing.setNeighbours(static_cast<unsigned>(near));
+}
+
 void neighbour_link::sendToNeighbours(const std::string& bytes)
 {
     const auto& settings = m_runtime.settings();
--- a/Source/neighbour_link.h
+++ b/Source/neighbour_link.h
@@ -66,6 +66,8 @@
     void receive();
     void take(std::string_view bytes);
     void takeReport(const neighbour_report&, instant now);
+    // Follows the hosts that are known. The mutex is held.
+    void countNeighbours();
     void sendToNeighbours(const std::string& bytes);
     // Sends a report to the neighbours and, if there is one, a notice to a host of
     // each other data centre.
--- a/Utilities/choice_bench.cxx
+++ b/Utilities/choice_bench.cxx
@@ -50,6 +50,8 @@
         all.back().slowPart = 0.16;
         all.push_back(grownFleet("grown usual", 1));
         all.push_back(grownFleet("grown burst", 1.4));
+        all.push_back(grownFleet("grown turns away", 1.2));
+        all.back().shedPart = 0.4;
         return all;
     }
 
--- a/Utilities/service_model.cxx
+++ b/Utilities/service_model.cxx
@@ -66,6 +66,7 @@
         it.core->adoptDirectory(directory, m_now);
         it.core->setFleetSize(pattern.hostsPerDataCentre, hosts);
         it.pacing = report_pacing(policy.pacing);
+        it.pacing.setNeighbours(pattern.hostsPerDataCentre - 1);
         it.dataCentre = dataCentre;
         m_hosts.push_back(std::move(it));
     }
