--- a/Source/fleet_feeds.h
+++ b/Source/fleet_feeds.h
@@ -171,6 +171,7 @@
             return it.confirmation(now);
         });
         const bool reads = withChoice([now](reader_choice& it) { return it.reads(now); });
+        noteTurn(reads, heard);
         // While a neighbour reaches the store, one that failed to tries it seldom.
         const bool isCovered = heard && now < m_retryAt;
         if (reads && !isCovered)
@@ -181,6 +182,15 @@
         return std::clamp<duration>(std::min(pause, untilTurn), std::chrono::milliseconds(1), longestSleep);
     }
 
+    void noteTurn(bool reads, const std::optional<store_confirmation>& heard)
+    {
+        if (reads == m_isReading)
+            return;
+        m_isReading = reads;
+        const auto age = heard ? std::chrono::duration_cast<std::chrono::milliseconds>(presentInstant() - heard->at).count() : -1;
+        logInfo(absl::StrCat("event=reader reads=", reads ? "yes" : "no", " neighbour_confirmed_ms_ago=", age));
+    }
+
     // Reads as the reader of this data centre.
     duration readStore(bool isCovered)
     {
@@ -338,8 +348,9 @@
     // Guarded by the roster's follower.
     host_roster m_roster;
     std::atomic<bool> m_mustJoin { false };
-    // The following four are used by the feed's thread only.
+    // The following five are used by the feed's thread only.
     version_ledger m_ledger;
+    bool m_isReading = false;
     duration m_pause {};
     instant m_retryAt = longAgo;
     instant m_behindSince = longAgo;
