Feeds: Read a table whole at once when its history is gone

Cause: the test 'hosts serve on while the store is away, and follow it when it is back' failed once in a second run of all tests. When the store discards its history, upstreams, roster and plan each learn of it by a call of their own, and between them the reader waited 0.2 s and then held a call for 1 s: some 2.4 s and the backoff until the plan was read, of 3 s in the test. Ruled out: load alone (the waits above add up without any). Change: the second call follows at once.

--- a/Source/fleet_feeds.h
+++ b/Source/fleet_feeds.h
@@ -208,6 +208,14 @@
         return step.pause;
     }
 
+    // Reads a table without waiting for changes, and whole if its history is gone.
+    static follower_step readNow(follower& it)
+    {
+        const follower_step step = it.step(duration::zero());
+        const bool isHistoryGone = !step.isDone && step.pause == duration::zero();
+        return isHistoryGone ? it.step(duration::zero()) : step;
+    }
+
     // Reads the roster and the plan if the store's version shows that something
     // beside the rows that were read may have changed. Returns whether all is known.
     bool checkOthers()
@@ -216,7 +224,7 @@
         for (follower* it : { m_rosterRows.get(), m_plan.get() }) {
             if (m_ledger.accountsFor(version) || it->version() >= version)
                 continue;
-            const follower_step step = it->step(duration::zero());
+            const follower_step step = readNow(*it);
             if (!step.isDone)
                 return false;
             m_ledger.note(step.versions);
@@ -256,7 +264,7 @@
         m_behindSince = longAgo;
         duration pause {};
         for (follower* it : behind)
-            pause = std::max(pause, it->step(duration::zero()).pause);
+            pause = std::max(pause, readNow(*it).pause);
         return pause;
     }
 
