--- a/Source/fleet_feeds.h
+++ b/Source/fleet_feeds.h
@@ -208,14 +208,6 @@
         return step.pause;
     }
 
-    // Reads a table without waiting for changes, and whole if its history is gone.
-    static follower_step readNow(follower& it)
-    {
-        const follower_step step = it.step(duration::zero());
-        const bool isHistoryGone = !step.isDone && step.pause == duration::zero();
-        return isHistoryGone ? it.step(duration::zero()) : step;
-    }
-
     // Reads the roster and the plan if the store's version shows that something
     // beside the rows that were read may have changed. Returns whether all is known.
     bool checkOthers()
@@ -224,7 +216,7 @@
         for (follower* it : { m_rosterRows.get(), m_plan.get() }) {
             if (m_ledger.accountsFor(version) || it->version() >= version)
                 continue;
-            const follower_step step = readNow(*it);
+            const follower_step step = it->step(duration::zero());
             if (!step.isDone)
                 return false;
             m_ledger.note(step.versions);
@@ -264,7 +256,7 @@
         m_behindSince = longAgo;
         duration pause {};
         for (follower* it : behind)
-            pause = std::max(pause, readNow(*it).pause);
+            pause = std::max(pause, it->step(duration::zero()).pause);
         return pause;
     }
 
