Choice: Log upstreams that a data centre leaves idle, and what keeps requests away

Guests were refused while sound upstreams stood idle, and the log named only the upstream that was chosen: it could not tell an upstream that every host believed to be dear from one that nobody had a request for. Change: reports name the upstreams to which their sender sent work; each host knows when its data centre last used an upstream, and logs one that was idle for 1.5 s with its belief and the expected cost above the best upstream's. No decision changes. The counter upstreams_found_idle goes with it.

--- a/Source/Core/dispatch_core.cxx
+++ b/Source/Core/dispatch_core.cxx
@@ -119,6 +119,7 @@
     neighbour_report report;
     report.host = m_host;
     report.inFlight = m_choice.ownInFlight();
+    report.started = m_choice.takeStarted();
     for (const auto& [team, count] : m_quota.takeAdmitted()) {
         admitted_row& it = m_admitted[team];
         if (now - it.changedAt > admittedRepeatTime)
@@ -157,6 +158,8 @@
         known = std::max(known, count.total);
     }
     m_choice.setInFlight(report.host, report.inFlight, now);
+    for (const std::string& upstream : report.started)
+        m_choice.noteRemoteStart(upstream, now);
     for (const neighbour_sample& sample : report.samples) {
         m_choice.noteRemote(sample.upstream, sample.result, sample.latency, now);
         if (sample.result == work_result::Crashed)
--- a/Source/Core/dispatch_core.h
+++ b/Source/Core/dispatch_core.h
@@ -105,6 +105,9 @@
 
     unsigned heardNeighbours() const { return m_heard; }
 
+    // Returns the upstreams of this data centre that became idle since the last call.
+    std::vector<idle_upstream> takeIdle(instant now) { return m_choice.takeIdle(now); }
+
 private:
     struct neighbour_row {
         std::uint64_t incarnation = 0;
--- a/Source/Core/neighbour_report.h
+++ b/Source/Core/neighbour_report.h
@@ -46,6 +46,8 @@
     std::uint64_t sequence = 0;
     // Requests in flight by upstream; upstreams that are not named have none.
     std::map<std::string, unsigned> inFlight;
+    // Upstreams to which the sender sent work since its last report.
+    std::vector<std::string> started;
     // Admissions by team, of teams for which they changed of late.
     std::map<std::string, admitted_count> admitted;
     // Attempts that ended since the last report, as far as others should know.
--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace almondmoor {
 
@@ -50,6 +51,7 @@
             it.failingAt = now;
             it.slownessAt = now;
             it.usedAt = now - m_settings.longestExploration;
+            it.startedAt = now;
         }
         it.entry = entry;
         it.tier = tierOf(entry.dataCentre);
@@ -95,6 +97,7 @@
 choice_result upstream_choice::choose(const choice_question& question, instant now, std::mt19937_64& random)
 {
     forgetSilentPeers(now);
+    m_target[question.service] = question.targetLatency;
     choice_result result;
     const auto found = m_byService.find(question.service);
     if (found == m_byService.end())
@@ -135,6 +138,8 @@
     result.failing = best->failing;
     ++best->ownInFlight;
     best->usedAt = now;
+    best->isStartUntold = true;
+    noteStart(*best, now);
     result.upstream = &best->entry;
     result.tier = best->tier;
     return result;
@@ -288,6 +293,60 @@
     return counts;
 }
 
+std::vector<std::string> upstream_choice::takeStarted()
+{
+    std::vector<std::string> started;
+    for (auto& [id, it] : m_rows) {
+        if (std::exchange(it.isStartUntold, false))
+            started.push_back(id);
+    }
+    return started;
+}
+
+void upstream_choice::noteStart(row& it, instant now) const
+{
+    it.startedAt = now;
+    it.isIdleTold = false;
+}
+
+void upstream_choice::noteRemoteStart(const std::string& id, instant now)
+{
+    const auto found = m_rows.find(id);
+    if (found != m_rows.end())
+        noteStart(found->second, now);
+}
+
+double upstream_choice::leastCost(const choice_question& question, instant now)
+{
+    const double usual = serviceLatency(question.service);
+    double least = std::numeric_limits<double>::infinity();
+    for (row* it : m_byService[question.service]) {
+        age(*it, now);
+        if (!it->entry.isLeaving)
+            least = std::min(least, costOf(*it, question, it->slowness * usual, now));
+    }
+    return least;
+}
+
+std::vector<idle_upstream> upstream_choice::takeIdle(instant now)
+{
+    std::vector<idle_upstream> idle;
+    for (auto& [id, it] : m_rows) {
+        const bool isIdle = it.tier == distance_tier::SameDataCentre && !it.entry.isLeaving && now - it.startedAt >= m_settings.idleLimit;
+        if (!isIdle || std::exchange(it.isIdleTold, true))
+            continue;
+        choice_question question { it.entry.service, true, nullptr, duration::max(), m_target[it.entry.service] };
+        const double latency = it.slowness * serviceLatency(it.entry.service);
+        const double repeatableLeast = leastCost(question, now);
+        const double repeatableExcess = costOf(it, question, latency, now) - repeatableLeast;
+        question.mayFail = false;
+        const double otherLeast = leastCost(question, now);
+        const double otherExcess = costOf(it, question, latency, now) - otherLeast;
+        idle.push_back({ id, it.entry.service, now - it.startedAt, it.failing, it.slowness, it.failureTime, it.ownInFlight + it.peersInFlight, now < it.avoidUntil, repeatableExcess, otherExcess });
+    }
+    return idle;
+}
+
 bool upstream_choice::hasOther(const std::string& service, const std::set<std::string>& tried) const
 {
     const auto found = m_byService.find(service);
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -131,6 +131,8 @@
     duration longestAvoidance = std::chrono::seconds(4);
     // What a host said of its work in flight is forgotten after this time.
     duration sightLimit = std::chrono::milliseconds(1500);
+    // An upstream that no host of its data centre used for this long is idle.
+    duration idleLimit = std::chrono::milliseconds(1500);
     // Part of an upstream's slots from which neighbours should hear at once that one
     // more is taken.
     double busyPart = 0.99;
@@ -181,6 +183,27 @@
     Fleet
 };
 
+// An upstream of this data centre to which no host there sent work for a while,
+// and what this host believes of it.
+struct idle_upstream {
+    std::string id;
+    std::string service;
+    duration idleFor {};
+    // Probability that it is failing.
+    double failing = 0;
+    // Average latency relative to its service.
+    double slowness = 1;
+    // Average seconds that its failures took to show.
+    double failureTime = 0;
+    unsigned inFlight = 0;
+    // Whether this host could not reach it of late.
+    bool isAvoided = false;
+    // Seconds by which its expected cost exceeds that of the best upstream of its
+    // service, for a request that can be sent again and for one that must not be.
+    double repeatableExcess = 0;
+    double otherExcess = 0;
+};
+
 class upstream_choice {
 public:
     // The seed tells hosts apart.
@@ -215,6 +238,15 @@
     // Returns what this host has in flight, by upstream.
     std::map<std::string, unsigned> ownInFlight() const;
 
+    // Returns the upstreams to which this host sent work since the last call.
+    std::vector<std::string> takeStarted();
+
+    // Takes in that another host of the data centre sent work to an upstream.
+    void noteRemoteStart(const std::string& id, instant now);
+
+    // Returns the upstreams of this data centre that became idle since the last call.
+    std::vector<idle_upstream> takeIdle(instant now);
+
     // Returns whether a service has an upstream beside those that were tried.
     bool hasOther(const std::string& service, const std::set<std::string>& tried) const;
 
@@ -240,6 +272,12 @@
         instant failingAt = longAgo;
         // Latest use by this host.
         instant usedAt = longAgo;
+        // Latest use by a host of this data centre, as far as was heard.
+        instant startedAt = longAgo;
+        // Whether this host sent work since its last report.
+        bool isStartUntold = false;
+        // Whether takeIdle() returned it since it was last used.
+        bool isIdleTold = false;
         // Average latency in seconds relative to its service.
         double slowness = 1;
         instant slownessAt = longAgo;
@@ -267,6 +305,9 @@
     // Returns the seconds that a request would wait for a slot.
     double waitAt(const row&, double latency) const;
     double costOf(const row&, const choice_question&, double latency, instant now) const;
+    // Returns the expected cost of the best upstream of a service.
+    double leastCost(const choice_question&, instant now);
+    void noteStart(row&, instant now) const;
     void forgetSilentPeers(instant now);
     // Adds what a peer has in flight to the rows, or takes it off.
     void countPeer(const peer_row&, int sign);
@@ -282,6 +323,8 @@
     std::map<std::string, std::vector<row*>> m_byService;
     // Average latency in seconds by service.
     std::map<std::string, double> m_serviceLatency;
+    // Target latency of the latest request for each service.
+    std::map<std::string, duration> m_target;
     std::map<std::string, peer_row> m_peers;
 };
 
--- a/Source/Generated/neighbour.pb.cxx
+++ b/Source/Generated/neighbour.pb.cxx
@@ -73,6 +73,7 @@
   , /*decltype(_impl_.admitted_)*/{}
   , /*decltype(_impl_.samples_)*/{}
   , /*decltype(_impl_.quarantined_)*/{}
+  , /*decltype(_impl_.started_)*/{}
   , /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -228,6 +229,7 @@
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.samples_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.quarantined_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.confirmation_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.started_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Confirmation, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -287,12 +289,12 @@
   { 8, -1, -1, sizeof(::almondmoor::wire::Admitted)},
   { 17, -1, -1, sizeof(::almondmoor::wire::RemoteSample)},
   { 27, -1, -1, sizeof(::almondmoor::wire::NeighbourReport)},
-  { 43, -1, -1, sizeof(::almondmoor::wire::Confirmation)},
-  { 51, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
-  { 61, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
-  { 68, -1, -1, sizeof(::almondmoor::wire::TableReading)},
-  { 79, -1, -1, sizeof(::almondmoor::wire::Datagram)},
-  { 88, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
+  { 44, -1, -1, sizeof(::almondmoor::wire::Confirmation)},
+  { 52, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
+  { 62, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
+  { 69, -1, -1, sizeof(::almondmoor::wire::TableReading)},
+  { 80, -1, -1, sizeof(::almondmoor::wire::Datagram)},
+  { 89, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -314,7 +316,7 @@
   "7\n\010Admitted\022\014\n\004team\030\001 \001(\t\022\r\n\005total\030\002 \001(\004"
   "\022\016\n\006before\030\003 \001(\004\"Y\n\014RemoteSample\022\020\n\010upst"
   "ream\030\001 \001(\t\022\016\n\006result\030\002 \001(\r\022\022\n\nlatency_ms"
-  "\030\003 \001(\r\022\023\n\013fingerprint\030\004 \001(\006\"\301\002\n\017Neighbou"
+  "\030\003 \001(\r\022\023\n\013fingerprint\030\004 \001(\006\"\322\002\n\017Neighbou"
   "rReport\022\014\n\004host\030\001 \001(\t\022\023\n\013data_centre\030\002 \001"
   "(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\004"
   "\022\020\n\010sequence\030\005 \001(\004\022,\n\tin_flight\030\006 \003(\0132\031."
@@ -322,23 +324,24 @@
   "(\0132\031.almondmoor.wire.Admitted\022.\n\007samples"
   "\030\010 \003(\0132\035.almondmoor.wire.RemoteSample\022\023\n"
   "\013quarantined\030\t \003(\006\0223\n\014confirmation\030\n \001(\013"
-  "2\035.almondmoor.wire.Confirmation\"2\n\014Confi"
-  "rmation\022\016\n\006age_ms\030\001 \001(\r\022\022\n\nchanged_at\030\002 "
-  "\003(\004\"L\n\tStoredRow\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002"
-  " \001(\014\022\017\n\007version\030\003 \001(\004\022\022\n\nis_removed\030\004 \001("
-  "\010\"6\n\nStoredRows\022(\n\004rows\030\001 \003(\0132\032.almondmo"
-  "or.wire.StoredRow\"d\n\014TableReading\022\r\n\005tab"
-  "le\030\001 \001(\r\022\020\n\010was_away\030\002 \001(\010\022\r\n\005after\030\003 \001("
-  "\004\022\017\n\007version\030\004 \001(\004\022\023\n\013packed_rows\030\005 \001(\014\""
-  "{\n\010Datagram\0222\n\006report\030\001 \001(\0132 .almondmoor"
-  ".wire.NeighbourReportH\000\0220\n\007reading\030\002 \001(\013"
-  "2\035.almondmoor.wire.TableReadingH\000B\t\n\007con"
-  "tent\"3\n\013RosterEntry\022\017\n\007address\030\001 \001(\t\022\023\n\013"
-  "data_centre\030\002 \001(\tb\006proto3"
+  "2\035.almondmoor.wire.Confirmation\022\017\n\007start"
+  "ed\030\013 \003(\t\"2\n\014Confirmation\022\016\n\006age_ms\030\001 \001(\r"
+  "\022\022\n\nchanged_at\030\002 \003(\004\"L\n\tStoredRow\022\013\n\003key"
+  "\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\017\n\007version\030\003 \001(\004\022\022"
+  "\n\nis_removed\030\004 \001(\010\"6\n\nStoredRows\022(\n\004rows"
+  "\030\001 \003(\0132\032.almondmoor.wire.StoredRow\"d\n\014Ta"
+  "bleReading\022\r\n\005table\030\001 \001(\r\022\020\n\010was_away\030\002 "
+  "\001(\010\022\r\n\005after\030\003 \001(\004\022\017\n\007version\030\004 \001(\004\022\023\n\013p"
+  "acked_rows\030\005 \001(\014\"{\n\010Datagram\0222\n\006report\030\001"
+  " \001(\0132 .almondmoor.wire.NeighbourReportH\000"
+  "\0220\n\007reading\030\002 \001(\0132\035.almondmoor.wire.Tabl"
+  "eReadingH\000B\t\n\007content\"3\n\013RosterEntry\022\017\n\007"
+  "address\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\tb\006prot"
+  "o3"
   ;
 static ::_pbi::once_flag descriptor_table_neighbour_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_neighbour_2eproto = {
-    false, false, 1025, descriptor_table_protodef_neighbour_2eproto,
+    false, false, 1042, descriptor_table_protodef_neighbour_2eproto,
     "neighbour.proto",
     &descriptor_table_neighbour_2eproto_once, nullptr, 0, 10,
     schemas, file_default_instances, TableStruct_neighbour_2eproto::offsets,
@@ -1159,6 +1162,7 @@
     , decltype(_impl_.admitted_){from._impl_.admitted_}
     , decltype(_impl_.samples_){from._impl_.samples_}
     , decltype(_impl_.quarantined_){from._impl_.quarantined_}
+    , decltype(_impl_.started_){from._impl_.started_}
     , decltype(_impl_.host_){}
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.address_){}
@@ -1210,6 +1214,7 @@
     , decltype(_impl_.admitted_){arena}
     , decltype(_impl_.samples_){arena}
     , decltype(_impl_.quarantined_){arena}
+    , decltype(_impl_.started_){arena}
     , decltype(_impl_.host_){}
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.address_){}
@@ -1247,6 +1252,7 @@
   _impl_.admitted_.~RepeatedPtrField();
   _impl_.samples_.~RepeatedPtrField();
   _impl_.quarantined_.~RepeatedField();
+  _impl_.started_.~RepeatedPtrField();
   _impl_.host_.Destroy();
   _impl_.data_centre_.Destroy();
   _impl_.address_.Destroy();
@@ -1267,6 +1273,7 @@
   _impl_.admitted_.Clear();
   _impl_.samples_.Clear();
   _impl_.quarantined_.Clear();
+  _impl_.started_.Clear();
   _impl_.host_.ClearToEmpty();
   _impl_.data_centre_.ClearToEmpty();
   _impl_.address_.ClearToEmpty();
@@ -1390,6 +1397,21 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated string started = 11;
+      case 11:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 90)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_started();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "almondmoor.wire.NeighbourReport.started"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<90>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -1497,6 +1519,16 @@
         _Internal::confirmation(this).GetCachedSize(), target, stream);
   }
 
+  // repeated string started = 11;
+  for (int i = 0, n = this->_internal_started_size(); i < n; i++) {
+    const auto& s = this->_internal_started(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "almondmoor.wire.NeighbourReport.started");
+    target = stream->WriteString(11, s, target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -1545,6 +1577,14 @@
     total_size += data_size;
   }
 
+  // repeated string started = 11;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.started_.size());
+  for (int i = 0, n = _impl_.started_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.started_.Get(i));
+  }
+
   // string host = 1;
   if (!this->_internal_host().empty()) {
     total_size += 1 +
@@ -1605,6 +1645,7 @@
   _this->_impl_.admitted_.MergeFrom(from._impl_.admitted_);
   _this->_impl_.samples_.MergeFrom(from._impl_.samples_);
   _this->_impl_.quarantined_.MergeFrom(from._impl_.quarantined_);
+  _this->_impl_.started_.MergeFrom(from._impl_.started_);
   if (!from._internal_host().empty()) {
     _this->_internal_set_host(from._internal_host());
   }
@@ -1647,6 +1688,7 @@
   _impl_.admitted_.InternalSwap(&other->_impl_.admitted_);
   _impl_.samples_.InternalSwap(&other->_impl_.samples_);
   _impl_.quarantined_.InternalSwap(&other->_impl_.quarantined_);
+  _impl_.started_.InternalSwap(&other->_impl_.started_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.host_, lhs_arena,
       &other->_impl_.host_, rhs_arena
--- a/Source/metrics.h
+++ b/Source/metrics.h
@@ -46,10 +46,11 @@
     NeighbourReportsSent,
     NeighbourReportsTaken,
     NeighbourReadingsTaken,
-    NeighbourBytesSent
+    NeighbourBytesSent,
+    UpstreamsFoundIdle
 };
 
-inline constexpr name_table<event, 25> eventNames { {
+inline constexpr name_table<event, 26> eventNames { {
     { event::RequestsReceived, "requests_received" },
     { event::AnswersPassed, "answers_passed" },
     { event::AnswersAborted, "answers_aborted" },
@@ -75,6 +76,7 @@
     { event::NeighbourReportsTaken, "neighbour_reports_taken" },
     { event::NeighbourReadingsTaken, "neighbour_readings_taken" },
     { event::NeighbourBytesSent, "neighbour_bytes_sent" },
+    { event::UpstreamsFoundIdle, "upstreams_found_idle" },
 } };
 
 struct team_counts {
--- a/Source/neighbour_codec.cxx
+++ b/Source/neighbour_codec.cxx
@@ -66,6 +66,7 @@
         report.sequence = in.sequence();
         for (const auto& entry : in.in_flight())
             report.inFlight[entry.upstream()] = entry.count();
+        report.started.assign(in.started().begin(), in.started().end());
         for (const auto& entry : in.admitted())
             report.admitted[entry.team()] = { entry.total(), entry.before() };
         for (const auto& entry : in.samples()) {
@@ -111,6 +112,8 @@
         entry->set_upstream(upstream);
         entry->set_count(count);
     }
+    for (const std::string& upstream : report.started)
+        out.add_started(upstream);
     for (const auto& [team, count] : report.admitted) {
         auto* entry = out.add_admitted();
         entry->set_team(team);
--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -187,6 +187,7 @@
     neighbour_report report = signedReport();
     report.sequence = ++m_sequence;
     report.inFlight = std::move(state.inFlight);
+    report.started = std::move(state.started);
     report.admitted = std::move(state.admitted);
     report.samples = std::move(state.samples);
     report.quarantined = std::move(state.quarantined);
--- a/Source/proxy_runtime.cxx
+++ b/Source/proxy_runtime.cxx
@@ -4,6 +4,7 @@
 #include "logging.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 #include <algorithm>
 #include <random>
 
@@ -123,10 +124,23 @@
         if (m_book.expire(now))
             publishDirectory(now);
     }
-    withCore([&](dispatch_core& it) { it.tick(now); });
+    const auto idle = withCore([&](dispatch_core& it) {
+        it.tick(now);
+        return it.takeIdle(now);
+    });
+    for (const idle_upstream& it : idle)
+        noteIdle(it);
     m_upstreams.closeIdle();
 }
 
+void proxy_runtime::noteIdle(const idle_upstream& it)
+{
+    m_metrics.add(event::UpstreamsFoundIdle);
+    const auto idleMs = std::chrono::duration_cast<std::chrono::milliseconds>(it.idleFor).count();
+    logInfo(absl::StrCat("event=upstream-idle upstream=", it.id, " service=", it.service, " idle_ms=", idleMs, " in_flight=", it.inFlight, " avoided=", it.isAvoided ? "yes" : "no",
+        absl::StrFormat(" failing=%.2f slowness=%.2f failure_s=%.2f excess_s=%.2f excess_unrepeatable_s=%.2f", it.failing, it.slowness, it.failureTime, it.repeatableExcess, it.otherExcess)));
+}
+
 void proxy_runtime::announce(news_urgency urgency) const
 {
     if (m_announcer)
--- a/Source/proxy_runtime.h
+++ b/Source/proxy_runtime.h
@@ -103,6 +103,7 @@
 private:
     // Publishes the book's directory. The feed mutex is held.
     void publishDirectory(instant now);
+    void noteIdle(const idle_upstream&);
 
     proxy_settings m_settings;
     wire_names m_wire;
--- a/Tests/Core/dispatch_core_test.cxx
+++ b/Tests/Core/dispatch_core_test.cxx
@@ -118,6 +118,32 @@
     }
 }
 
+TEST_CASE("an idle upstream is told once, unless a neighbour used it, with what is believed of it", "[dispatch]")
+{
+    dispatch_core core = coreOf("a", "d1");
+    dispatch_core neighbour = coreOf("b", "d1");
+    core.finishAttempt({ "u1", work_result::Crashed, std::chrono::seconds(2), 1 }, begin);
+    const instant now = begin + std::chrono::seconds(2);
+    const auto chosen = neighbour.choose({ "orders", false, nullptr, std::chrono::seconds(2), std::chrono::milliseconds(600) }, now);
+    REQUIRE(chosen.upstream);
+    neighbour_report report = neighbour.takeReport(now);
+    CHECK(report.started == std::vector<std::string> { chosen.upstream->id });
+    CHECK(neighbour.takeReport(now).started.empty());
+    report.incarnation = 1;
+    report.sequence = 1;
+    core.noteReport(report, now);
+    const auto idle = core.takeIdle(now);
+    REQUIRE(idle.size() == 3);
+    for (const idle_upstream& it : idle) {
+        INFO(it.id);
+        CHECK(it.id != chosen.upstream->id);
+        CHECK(it.idleFor == std::chrono::seconds(2));
+        CHECK((it.failing > 0.5) == (it.id == "u1"));
+        CHECK((it.repeatableExcess > 1) == (it.id == "u1"));
+    }
+    CHECK(core.takeIdle(now).empty());
+}
+
 TEST_CASE("reports name only teams that moved of late, and lose none of their requests", "[dispatch]")
 {
     serving_plan plan;
