--- a/Utilities/service_model.cxx
+++ b/Utilities/service_model.cxx
@@ -18,6 +18,10 @@
     constexpr double workSpread = 0.8;
     constexpr double retryRatio = 0.2;
     constexpr double retrySlack = 62;
+    // Work should come to an upstream that was well for this long within the window.
+    constexpr duration wellTime = 6s;
+    constexpr duration coverageWindow = 2s;
+    constexpr duration coverageStep = 250ms;
 
     std::string dataCentreName(unsigned index)
     {
@@ -81,6 +85,7 @@
 {
     for (const model_kind& kind : m_pattern.kinds)
         planArrival(kind);
+    at(m_now + coverageStep, [this] { measureCoverage(); });
     while (!m_events.empty() && m_events.top().at < m_end) {
         const event_row next = m_events.top();
         m_events.pop();
@@ -104,7 +109,7 @@
 {
     // A hash of the guest picks the host, so that shares are uneven.
     const double place = std::pow(draw(), 1.3) * m_pattern.hostsPerDataCentre;
-    const auto dataCentre = static_cast<unsigned>(draw() * m_pattern.dataCentres);
+    const auto dataCentre = static_cast<unsigned>(draw() * (m_pattern.dataCentres - m_pattern.quietDataCentres));
     const unsigned host = dataCentre * m_pattern.hostsPerDataCentre + static_cast<unsigned>(place);
     const std::uint64_t id = m_nextRequest++;
     m_requests[id] = { &kind, host, 0, 0, m_now, m_now, {} };
@@ -143,14 +148,40 @@
         it.failsFrom = it.failsUntil + fromSeconds(soundLength * 2 * draw());
         it.failsUntil = it.failsFrom + m_pattern.failingLength;
     }
-    return m_pattern.failingPart > 0 && m_now >= it.failsFrom;
+    return isInOutage(it) || (m_pattern.failingPart > 0 && m_now >= it.failsFrom);
+}
+
+bool service_model::isInOutage(const upstream_row& it) const
+{
+    const instant from = m_beginning + m_pattern.outageFrom;
+    // The first upstreams of each data centre.
+    const auto place = static_cast<unsigned>(&it - m_upstreams.data()) % m_pattern.upstreamsPerDataCentre;
+    return place < m_pattern.outagePart * m_pattern.upstreamsPerDataCentre && m_now >= from && m_now < from + m_pattern.outageLength;
+}
+
+void service_model::measureCoverage()
+{
+    unsigned well = 0;
+    unsigned used = 0;
+    for (upstream_row& it : m_upstreams) {
+        if (isFailing(it))
+            it.lastFailingAt = m_now;
+        if (m_now - std::max(it.lastFailingAt, m_beginning) < wellTime + coverageWindow)
+            continue;
+        ++well;
+        used += m_now - it.reachedAt < coverageWindow ? 1 : 0;
+    }
+    if (well > 0)
+        m_result.leastCovered = std::min(m_result.leastCovered, static_cast<double>(used) / well);
+    at(m_now + coverageStep, [this] { measureCoverage(); });
 }
 
 void service_model::reach(std::uint64_t id)
 {
     upstream_row& it = m_upstreams[m_requests[id].upstream];
+    it.reachedAt = m_now;
     if (isFailing(it) && draw() < m_pattern.lostWhileFailing) {
-        finish(id, work_result::Crashed);
+        lose(id);
     } else if (draw() < m_pattern.shedPart || (it.running >= m_pattern.slots && it.waiting.size() >= m_pattern.queue)) {
         finish(id, work_result::Shed);
     } else if (it.running >= m_pattern.slots) {
@@ -160,6 +191,31 @@
     }
 }
 
+void service_model::lose(std::uint64_t id)
+{
+    const request_row& it = m_requests[id];
+    if (m_pattern.manner == failure_manner::Reset) {
+        finish(id, work_result::Crashed);
+        return;
+    }
+    ++m_upstreams[it.upstream].running;
+    at(it.beganAt + it.kind->limit, [this, id, place = it.upstream] {
+        leave(place);
+        finish(id, work_result::Failed);
+    });
+}
+
+void service_model::leave(unsigned place)
+{
+    upstream_row& upstream = m_upstreams[place];
+    --upstream.running;
+    while (!upstream.waiting.empty() && upstream.running < m_pattern.slots) {
+        const std::uint64_t next = upstream.waiting.front();
+        upstream.waiting.pop_front();
+        begin(next);
+    }
+}
+
 void service_model::begin(std::uint64_t id)
 {
     const request_row& it = m_requests[id];
@@ -168,14 +224,8 @@
     std::lognormal_distribution<double> work(-workSpread * workSpread / 2, workSpread);
     const double seconds = toSeconds(it.kind->meanWork) * upstream.speed * work(m_random);
     at(m_now + fromSeconds(seconds), [this, id, place = it.upstream] {
-        upstream_row& ended = m_upstreams[place];
-        --ended.running;
         finish(id, work_result::Good);
-        while (!ended.waiting.empty() && ended.running < m_pattern.slots) {
-            const std::uint64_t next = ended.waiting.front();
-            ended.waiting.pop_front();
-            begin(next);
-        }
+        leave(place);
     });
 }
 
--- a/Utilities/service_model.h
+++ b/Utilities/service_model.h
@@ -40,6 +40,14 @@
     duration limit {};
 };
 
+// What becomes of a request that a failing upstream loses.
+enum class failure_manner {
+    // Its connection is reset.
+    Reset,
+    // It holds a slot until its time is up.
+    Hang
+};
+
 // A deployment, its load and what fails.
 struct model_pattern {
     std::string name;
@@ -56,6 +64,13 @@
     double failingPart = 0.15;
     duration failingLength = std::chrono::seconds(8);
     double lostWhileFailing = 0.85;
+    failure_manner manner = failure_manner::Reset;
+    // Part of the upstreams that begin to fail together, and when.
+    double outagePart = 0;
+    duration outageFrom {};
+    duration outageLength {};
+    // Data centres, the last ones, whose hosts get no requests.
+    unsigned quietDataCentres = 0;
     // Part of all requests that upstreams turn away.
     double shedPart = 0;
     // Part of the upstreams that work several times slower.
@@ -76,6 +91,9 @@
     std::uint64_t sentFar = 0;
     std::uint64_t reportsTaken = 0;
     double hostSeconds = 0;
+    // Least part of the upstreams that were well for a while to which work came in
+    // any two seconds.
+    double leastCovered = 1;
 };
 
 class service_model {
@@ -93,6 +111,8 @@
         std::deque<std::uint64_t> waiting;
         instant failsFrom;
         instant failsUntil;
+        instant lastFailingAt = longAgo;
+        instant reachedAt = longAgo;
     };
     struct host_row {
         std::unique_ptr<dispatch_core> core;
@@ -124,6 +144,10 @@
     void arrive(const model_kind&);
     void send(std::uint64_t request);
     void reach(std::uint64_t request);
+    // Ends a request that a failing upstream loses.
+    void lose(std::uint64_t request);
+    // Frees a slot of an upstream.
+    void leave(unsigned upstream);
     void begin(std::uint64_t request);
     void finish(std::uint64_t request, work_result);
     void retryOrEnd(std::uint64_t request, work_result);
@@ -132,6 +156,9 @@
     void report(unsigned host);
     void planReport(unsigned host);
     bool isFailing(upstream_row&);
+    bool isInOutage(const upstream_row&) const;
+    // Takes in how many upstreams got work of late.
+    void measureCoverage();
     duration distance(unsigned dataCentre, unsigned other) const;
     double draw() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
@@ -139,6 +166,7 @@
     model_policy m_policy;
     std::mt19937_64 m_random;
     instant m_now { std::chrono::hours(1) };
+    instant m_beginning = m_now;
     instant m_end;
     std::uint64_t m_order = 0;
     std::priority_queue<event_row> m_events;
