Choice: The hosts of a data centre answer together for each of its upstreams

Cause: whether an upstream was used followed from belief alone, and only use could correct it. Exploration was a discount of 0.5 s at most on a cost without a limit (the time that failures took, 2.5 target latencies, slowness), worked out by each host from its own use. The lines upstream-idle show the cost above the best on every host of the data centre: 0.3 to 3.4 s after the discount. Ruled out: rows that hosts do not know (all hosts name the idle upstreams); data centres without requests (14 to 46 attempts in the two seconds). Change: reports name where work was sent, so a data centre knows when it last used an upstream. One that none of its hosts used for 0.6 s (requests that can be sent again) or 1.0 s (others) is due for a trial, whatever it is believed to cost; hosts take turns by hash within 0.4 s, so the next one makes the trial if the first has no request. Trials in vain, failed or slow, double the pause up to 4 s. A request makes one trial at most, and only where a slot is free. Why it works: use no longer hangs on the belief that it alone can correct. The test of hosts that hear the same now also tells them where work was sent, as reports do; an upstream that is due is the new test's matter, with the same bound.

--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -20,6 +20,8 @@
     constexpr double greatestProbability = 0.995;
     // Weight of one failure in the average time that failures take.
     constexpr double failureTimeWeight = 0.5;
+    // Doublings of a pause, so that it does not overflow.
+    constexpr unsigned mostDoublings = 8;
 
     double averaged(double average, double sample, double weight)
     {
@@ -104,6 +106,10 @@
         return result;
     const double usual = serviceLatency(question.service);
     std::uniform_real_distribution<double> jitter(0, m_settings.jitter * usual);
+    // A request is used for one trial at most; where it goes next is the best place.
+    const bool mayTry = !question.tried || question.tried->empty();
+    row* due = nullptr;
+    duration longestDue = duration::zero();
     row* best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
     double shortestWait = std::numeric_limits<double>::infinity();
@@ -126,25 +132,61 @@
             best = &it;
             bestCost = cost;
         }
+        const duration dueFor = mayTry ? trialDueFor(it, question, now) : duration(-1);
+        if (dueFor >= longestDue) {
+            due = &it;
+            longestDue = dueFor;
+        }
     }
+    if (due)
+        return begin(*due, true, now);
     if (!best) {
         const bool isAnyKnown = std::isfinite(shortestWait);
         result.refusal = isAnyKnown ? choice_refusal::NoRoom : choice_refusal::NoUpstream;
         result.roomIn = isAnyKnown ? fromSeconds(shortestWait) : duration::zero();
         return result;
     }
-    result.inFlight = best->ownInFlight + best->peersInFlight;
-    result.isBusy = result.inFlight >= m_settings.busyPart * best->entry.slots;
-    result.failing = best->failing;
-    ++best->ownInFlight;
-    best->usedAt = now;
-    best->isStartUntold = true;
-    noteStart(*best, now);
-    result.upstream = &best->entry;
-    result.tier = best->tier;
+    return begin(*best, false, now);
+}
+
+choice_result upstream_choice::begin(row& it, bool isTrial, instant now) const
+{
+    choice_result result;
+    result.inFlight = it.ownInFlight + it.peersInFlight;
+    result.isBusy = result.inFlight >= m_settings.busyPart * it.entry.slots;
+    result.isTrial = isTrial;
+    result.failing = it.failing;
+    result.upstream = &it.entry;
+    result.tier = it.tier;
+    ++it.ownInFlight;
+    it.usedAt = now;
+    it.isStartUntold = true;
+    noteStart(it, now);
     return result;
 }
 
+duration upstream_choice::trialDueFor(const row& it, const choice_question& question, instant now) const
+{
+    constexpr duration notDue { -1 };
+    const bool hasFreeSlot = it.ownInFlight + it.peersInFlight < it.entry.slots;
+    if (it.tier != distance_tier::SameDataCentre || !hasFreeSlot || now < it.avoidUntil)
+        return notDue;
+    const duration pause = question.mayFail ? m_settings.repeatableTrialPause : m_settings.otherTrialPause;
+    const duration grown = std::min(pause * (1 << std::min(it.attemptsInVain, mostDoublings)), m_settings.longestTrialPause);
+    const duration dueFor = now - it.startedAt - grown;
+    if (dueFor < duration::zero())
+        return notDue;
+    return dueFor - fromSeconds(turnAt(it) * toSeconds(m_settings.turnSpan));
+}
+
+double upstream_choice::turnAt(const row& it) const
+{
+    const std::uint64_t own = stableHash(it.entry.id, m_seed);
+    const auto isBefore = [&](const auto& peer) { return stableHash(it.entry.id, peer.second.seed) < own; };
+    const auto before = std::count_if(m_peers.begin(), m_peers.end(), isBefore);
+    return static_cast<double>(before) / static_cast<double>(m_peers.size() + 1);
+}
+
 double upstream_choice::commonProbability() const
 {
     const failure_model& model = m_settings.failures;
@@ -181,14 +223,17 @@
         weigh(it, model.goodWhileFailing, model.goodWhileSound);
         const double relative = toSeconds(latency) / serviceLatency(it.entry.service);
         it.slowness = averaged(it.slowness, relative, m_settings.latencyWeight);
+        it.attemptsInVain = relative >= m_settings.slowAnswerFactor ? it.attemptsInVain + 1 : 0;
         break;
     }
     case work_result::Failed:
         weigh(it, model.errorWhileFailing, model.errorWhileSound);
+        ++it.attemptsInVain;
         it.failureTime = averaged(it.failureTime, toSeconds(latency), failureTimeWeight);
         break;
     case work_result::Crashed:
         weigh(it, model.lostWhileFailing, model.lostWhileSound);
+        ++it.attemptsInVain;
         it.failureTime = averaged(it.failureTime, toSeconds(latency), failureTimeWeight);
         break;
     case work_result::Shed:
@@ -224,7 +269,7 @@
     }
     if (result == work_result::Unreachable) {
         // Whether this host can reach an upstream says nothing to the others.
-        const unsigned doublings = std::min(it.failedConnects++, 8U);
+        const unsigned doublings = std::min(it.failedConnects++, mostDoublings);
         it.avoidUntil = now + std::min(m_settings.firstAvoidance * (1 << doublings), m_settings.longestAvoidance);
         return finish_audience::Nobody;
     }
@@ -250,7 +295,7 @@
 
 void upstream_choice::setInFlight(const std::string& host, const std::map<std::string, unsigned>& counts, instant now)
 {
-    peer_row& peer = m_peers[host];
+    peer_row& peer = m_peers.try_emplace(host, peer_row { stableHash(host), {}, now }).first->second;
     peer.heardAt = now;
     if (peer.counts == counts)
         return;
@@ -333,7 +378,8 @@
     std::vector<idle_upstream> idle;
     for (auto& [id, it] : m_rows) {
         const bool isIdle = it.tier == distance_tier::SameDataCentre && !it.entry.isLeaving && now - it.startedAt >= m_settings.idleLimit;
-        if (!isIdle || std::exchange(it.isIdleTold, true))
+        // One host of the data centre tells it.
+        if (!isIdle || turnAt(it) > 0 || std::exchange(it.isIdleTold, true))
             continue;
         choice_question question { it.entry.service, true, nullptr, duration::max(), m_target[it.entry.service] };
         const double latency = it.slowness * serviceLatency(it.entry.service);
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -18,6 +18,12 @@
 // that believe the same would choose the same and crowd it; so each prefers other
 // upstreams a little, and goes by its own use of them when it explores.
 //
+// Belief alone must not decide whether an upstream is used, since only use can
+// correct it. So the hosts of a data centre answer together for each of its
+// upstreams: one that none of them used for a while is due for a trial, whatever
+// it is expected to cost. They take turns in the order of their preference, so that
+// one host makes the trial if it has a request, and the next one if it has none.
+//
 // The class has no lock and no clock.
 
 #pragma once
@@ -131,8 +137,16 @@
     duration longestAvoidance = std::chrono::seconds(4);
     // What a host said of its work in flight is forgotten after this time.
     duration sightLimit = std::chrono::milliseconds(1500);
+    // Work for an upstream of this data centre is due this long after the last that
+    // any of its hosts sent there: as a trial by a request that can be sent again,
+    // and by one that must not be. Trials in vain double the pause.
+    duration repeatableTrialPause = std::chrono::milliseconds(600);
+    duration otherTrialPause = std::chrono::milliseconds(1000);
+    duration longestTrialPause = std::chrono::seconds(4);
+    // The hosts of a data centre take their turns at a due upstream over this time.
+    duration turnSpan = std::chrono::milliseconds(400);
     // An upstream that no host of its data centre used for this long is idle.
-    duration idleLimit = std::chrono::milliseconds(1500);
+    duration idleLimit = std::chrono::milliseconds(2000);
     // Part of an upstream's slots from which neighbours should hear at once that one
     // more is taken.
     double busyPart = 0.99;
@@ -165,6 +179,9 @@
     const directory_entry* upstream = nullptr;
     distance_tier tier = distance_tier::SameDataCentre;
     choice_refusal refusal = choice_refusal::NoUpstream;
+    // Whether the request is a trial: no host of the data centre used the upstream
+    // for a while.
+    bool isTrial = false;
     // What was known of the upstream: whether half of its slots or more were
     // taken, requests in flight there, and its probability of failing.
     bool isBusy = false;
@@ -276,6 +293,8 @@
         instant startedAt = longAgo;
         // Whether this host sent work since its last report.
         bool isStartUntold = false;
+        // Attempts in series that failed or were slow.
+        unsigned attemptsInVain = 0;
         // Whether takeIdle() returned it since it was last used.
         bool isIdleTold = false;
         // Average latency in seconds relative to its service.
@@ -289,6 +308,8 @@
     };
 
     struct peer_row {
+        // Orders upstreams for the peer as m_seed does for this host.
+        std::uint64_t seed = 0;
         std::map<std::string, unsigned> counts;
         instant heardAt = longAgo;
     };
@@ -305,6 +326,14 @@
     // Returns the seconds that a request would wait for a slot.
     double waitAt(const row&, double latency) const;
     double costOf(const row&, const choice_question&, double latency, instant now) const;
+    // Returns for how long a trial of an upstream by this host has been due;
+    // negative if none is.
+    duration trialDueFor(const row&, const choice_question&, instant now) const;
+    // Returns the turn of this host at an upstream among those of its data centre,
+    // from 0 for the first.
+    double turnAt(const row&) const;
+    // Counts a request in flight at a chosen upstream.
+    choice_result begin(row&, bool isTrial, instant now) const;
     // Returns the expected cost of the best upstream of a service.
     double leastCost(const choice_question&, instant now);
     void noteStart(row&, instant now) const;
--- a/Source/metrics.h
+++ b/Source/metrics.h
@@ -47,10 +47,11 @@
     NeighbourReportsTaken,
     NeighbourReadingsTaken,
     NeighbourBytesSent,
+    TrialsStarted,
     UpstreamsFoundIdle
 };
 
-inline constexpr name_table<event, 26> eventNames { {
+inline constexpr name_table<event, 27> eventNames { {
     { event::RequestsReceived, "requests_received" },
     { event::AnswersPassed, "answers_passed" },
     { event::AnswersAborted, "answers_aborted" },
@@ -76,6 +77,7 @@
     { event::NeighbourReportsTaken, "neighbour_reports_taken" },
     { event::NeighbourReadingsTaken, "neighbour_readings_taken" },
     { event::NeighbourBytesSent, "neighbour_bytes_sent" },
+    { event::TrialsStarted, "trials_started" },
     { event::UpstreamsFoundIdle, "upstreams_found_idle" },
 } };
 
--- a/Source/route_handler.cxx
+++ b/Source/route_handler.cxx
@@ -283,7 +283,10 @@
             m_roomIn = std::max(defaultRetryAfter, result.roomIn);
             break;
         }
-        if (result.isBusy)
+        if (result.isTrial)
+            m_runtime.counters().add(event::TrialsStarted);
+        // Neighbours that do not know of it would make the same trial, or fill the upstream.
+        if (result.isTrial || result.isBusy)
             m_urgency = news_urgency::High;
         m_runtime.announce(m_urgency);
         goesOn = attemptOnce(*chosen, result);
@@ -345,7 +348,7 @@
     m_lastDetail = exchange.detail();
     absl::StrAppend(&m_story, m_story.empty() ? "" : ",", upstream.id, ":", std::string(nameIn(exchangeEndNames, end)), ":", wholeMs(waited), "ms",
         exchange.isOnKeptConnection() ? ":kept" : ":new", ":", std::string(nameIn(distanceTierNames, choice.tier)), ":inflight=", choice.inFlight,
-        absl::StrFormat(":failing=%.2f", choice.failing));
+        absl::StrFormat(":failing=%.2f", choice.failing), choice.isTrial ? ":trial" : "");
     if (isStopped) {
         m_runtime.withCore([&](dispatch_core& it) { it.release(upstream.id); });
         m_progress.markNotStarted(number, false);
--- a/Tests/Core/dispatch_core_test.cxx
+++ b/Tests/Core/dispatch_core_test.cxx
@@ -118,7 +118,7 @@
     }
 }
 
-TEST_CASE("an idle upstream is told once, unless a neighbour used it, with what is believed of it", "[dispatch]")
+TEST_CASE("an idle upstream is told by one host, unless a neighbour used it, with what is believed of it", "[dispatch]")
 {
     dispatch_core core = coreOf("a", "d1");
     dispatch_core neighbour = coreOf("b", "d1");
@@ -132,7 +132,13 @@
     report.incarnation = 1;
     report.sequence = 1;
     core.noteReport(report, now);
-    const auto idle = core.takeIdle(now);
+    report = core.takeReport(now);
+    report.incarnation = 1;
+    report.sequence = 1;
+    neighbour.noteReport(report, now);
+    std::vector<idle_upstream> idle = core.takeIdle(now);
+    for (const idle_upstream& it : neighbour.takeIdle(now))
+        idle.push_back(it);
     REQUIRE(idle.size() == 3);
     for (const idle_upstream& it : idle) {
         INFO(it.id);
@@ -142,6 +148,7 @@
         CHECK((it.repeatableExcess > 1) == (it.id == "u1"));
     }
     CHECK(core.takeIdle(now).empty());
+    CHECK(neighbour.takeIdle(now).empty());
 }
 
 TEST_CASE("reports name only teams that moved of late, and lose none of their requests", "[dispatch]")
--- a/Tests/Core/upstream_choice_test.cxx
+++ b/Tests/Core/upstream_choice_test.cxx
@@ -1,5 +1,6 @@
 // The choice of upstreams under the load patterns that it answers.
 
+#include "Core/rendezvous.h"
 #include "Core/upstream_choice.h"
 
 #include <array>
@@ -246,9 +247,12 @@
     }
     // A neighbour was at each but the first of late, and all hear of it.
     now += ms(2000);
-    for (unsigned index = 1; index < upstreams; ++index) {
-        for (upstream_choice& it : choices)
-            it.noteRemote("i-" + std::to_string(index), work_result::Good, ms(150), now);
+    for (unsigned index = 0; index < upstreams; ++index) {
+        for (upstream_choice& it : choices) {
+            it.noteRemoteStart("i-" + std::to_string(index), now);
+            if (index > 0)
+                it.noteRemote("i-" + std::to_string(index), work_result::Good, ms(150), now);
+        }
     }
     for (const bool mayFail : { true, false }) {
         std::map<std::string, unsigned> counts;
@@ -263,4 +267,63 @@
     }
 }
 
+// Guards against hosts that all make the same trial before they hear of each other's.
+TEST_CASE("pattern: hosts take turns at an upstream that is due for work", "[choice]")
+{
+    constexpr unsigned hosts = 18;
+    constexpr duration newsTime = ms(20);
+    upstream_directory directory;
+    for (unsigned index = 0; index < 42; ++index) {
+        const directory_entry it = entry("i-" + std::to_string(index), "lag-1");
+        directory[it.id] = it;
+    }
+    instant now { std::chrono::hours(1) };
+    std::vector<upstream_choice> choices;
+    for (unsigned host = 0; host < hosts; ++host) {
+        choices.emplace_back(choice_settings {}, "lag-1", regions, stableHash(std::to_string(host)));
+        choices.back().adopt(directory, now);
+    }
+    const auto hearEachOther = [&] {
+        for (unsigned host = 0; host < hosts; ++host) {
+            for (unsigned peer = 0; peer < hosts; ++peer) {
+                if (peer != host)
+                    choices[host].setInFlight(std::to_string(peer), choices[peer].ownInFlight(), now);
+            }
+        }
+    };
+    // Two hundred requests per second at hosts drawn by chance; all hear of each in time.
+    std::mt19937_64 random(5);
+    std::map<std::string, std::vector<instant>> trials;
+    std::map<std::string, instant> startedAt;
+    std::vector<std::pair<instant, std::string>> news;
+    for (unsigned index = 0; index < 2000; ++index) {
+        now += ms(5);
+        hearEachOther();
+        while (!news.empty() && news.front().first <= now) {
+            for (upstream_choice& it : choices)
+                it.noteRemoteStart(news.front().second, now - newsTime);
+            news.erase(news.begin());
+        }
+        const choice_result it = choices[random() % hosts].choose({ "orders", index % 3 == 0, nullptr, ms(1500), ms(600) }, now, random);
+        REQUIRE(it.upstream);
+        const std::string id = it.upstream->id;
+        for (upstream_choice& host : choices)
+            host.finish(id, work_result::Good, ms(150), now);
+        if (it.isTrial)
+            trials[id].push_back(now);
+        startedAt[id] = now;
+        news.emplace_back(now + newsTime, id);
+    }
+    for (const auto& [id, at] : trials) {
+        for (std::size_t index = 2; index < at.size(); ++index) {
+            INFO(id);
+            CHECK(at[index] - at[index - 2] > newsTime);
+        }
+    }
+    for (const auto& [id, entry] : directory) {
+        INFO(id);
+        CHECK(now - startedAt[id] < ms(2000));
+    }
+}
+
 } // namespace almondmoor
--- a/Utilities/service_model.cxx
+++ b/Utilities/service_model.cxx
@@ -135,7 +135,7 @@
     it.tried.insert(chosen.upstream->id);
     it.upstream = m_upstreamById[chosen.upstream->id];
     it.sentAt = m_now;
-    if (chosen.isBusy)
+    if (chosen.isTrial || chosen.isBusy)
         it.urgency = news_urgency::High;
     tell(it.host, it.urgency);
     at(m_now + distance(host.dataCentre, m_upstreams[it.upstream].dataCentre), [this, id] { reach(id); });
