Choice: The first answer of a service no longer sets its usual latency

What callers saw: sound upstreams avoided as slow. Cause: a host's average latency of a service was set by its first answer whole, and moved by 2% with each later one. Where that was a trivial request of 1 to 3 ms, usual work counted as some hundred times slower for the next fifty answers. Class: one sample taken for a whole belief. Change: the latency expected of any service counts as the first five samples, and the average weighs all samples alike until 2% is reached.

--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -11,8 +11,10 @@
 
 namespace {
 
-    // Weight of one answer in the average latency of a service.
+    // Weight of one answer in the average latency of a service, once there are many.
     constexpr double serviceLatencyWeight = 0.02;
+    // Samples for which the latency expected of any service counts.
+    constexpr unsigned expectedLatencySamples = 5;
     // Probability from which an upstream looks failing.
     constexpr double looksFailing = 0.5;
     // No belief is certain, so that one lost request can change it.
@@ -65,7 +67,16 @@
 double upstream_choice::serviceLatency(const std::string& service) const
 {
     const auto found = m_serviceLatency.find(service);
-    return found == m_serviceLatency.end() ? toSeconds(m_settings.firstLatency) : found->second;
+    return found == m_serviceLatency.end() ? toSeconds(m_settings.firstLatency) : found->second.seconds;
+}
+
+void upstream_choice::noteServiceLatency(const std::string& service, duration latency)
+{
+    const latency_average first { toSeconds(m_settings.firstLatency), expectedLatencySamples };
+    latency_average& it = m_serviceLatency.try_emplace(service, first).first->second;
+    ++it.samples;
+    const double weight = std::max(serviceLatencyWeight, 1.0 / it.samples);
+    it.seconds += weight * (toSeconds(latency) - it.seconds);
 }
 
 double upstream_choice::waitAt(const row& it, double latency) const
@@ -263,10 +274,8 @@
     const double before = it.failing;
     const bool isNews = isUnexpected(it, result, latency);
     note(it, result, latency, now);
-    if (result == work_result::Good) {
-        double& average = m_serviceLatency[it.entry.service];
-        average = averaged(average, toSeconds(latency), serviceLatencyWeight);
-    }
+    if (result == work_result::Good)
+        noteServiceLatency(it.entry.service, latency);
     if (result == work_result::Unreachable) {
         // Whether this host can reach an upstream says nothing to the others.
         const unsigned doublings = std::min(it.failedConnects++, mostDoublings);
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -307,6 +307,13 @@
         instant avoidUntil = longAgo;
     };
 
+    // Average latency of a service; the latency that is expected of any service
+    // counts as its first samples.
+    struct latency_average {
+        double seconds = 0;
+        unsigned samples = 0;
+    };
+
     struct peer_row {
         // Orders upstreams for the peer as m_seed does for this host.
         std::uint64_t seed = 0;
@@ -323,6 +330,7 @@
     void age(row&, instant now) const;
     void weigh(row&, double whileFailing, double whileSound) const;
     double serviceLatency(const std::string& service) const;
+    void noteServiceLatency(const std::string& service, duration latency);
     // Returns the seconds that a request would wait for a slot.
     double waitAt(const row&, double latency) const;
     double costOf(const row&, const choice_question&, double latency, instant now) const;
@@ -350,8 +358,7 @@
     std::map<std::string, row> m_rows;
     // Rows of each service; they point into m_rows, whose rows never move.
     std::map<std::string, std::vector<row*>> m_byService;
-    // Average latency in seconds by service.
-    std::map<std::string, double> m_serviceLatency;
+    std::map<std::string, latency_average> m_serviceLatency;
     // Target latency of the latest request for each service.
     std::map<std::string, duration> m_target;
     std::map<std::string, peer_row> m_peers;
--- a/Tests/Core/upstream_choice_test.cxx
+++ b/Tests/Core/upstream_choice_test.cxx
@@ -326,4 +326,25 @@
     }
 }
 
+// Guards against sound upstreams that look slow since the service was first met with
+// a trivial request.
+TEST_CASE("the first answer of a service does not make usual ones look slow", "[choice]")
+{
+    for (const duration first : { ms(1), ms(3), ms(3000) }) {
+        scene it(nearUpstreams(2));
+        const auto attempt = [&](duration latency) {
+            const std::string id = it.choose(false);
+            const finish_audience audience = it.choice.finish(id, work_result::Good, latency, it.now);
+            it.now += ms(100);
+            return audience;
+        };
+        attempt(first);
+        unsigned unexpected = 0;
+        for (int index = 0; index < 20; ++index)
+            unexpected += attempt(ms(200)) == finish_audience::Nobody ? 0 : 1;
+        INFO(first.count());
+        CHECK(unexpected <= 2);
+    }
+}
+
 } // namespace almondmoor
