Choice: A data centre without requests asks the nearest one to use its upstreams

A data centre answers for its upstreams with its own requests, so they stand idle where its hosts get none. Change: when all hosts had their turns at an upstream that is due, the first in turn logs it (upstream-idle has this meaning now) and asks one host of each other data centre of the region, which tells its neighbours; they take turns for a second. Ruled out: asking all data centres (each would make the trial; the bytes are paid for). Open: a region in which no host has requests, and a data centre whose hosts are all gone.

--- a/Source/Core/dispatch_core.cxx
+++ b/Source/Core/dispatch_core.cxx
@@ -112,6 +112,18 @@
         quarantine(fingerprint, now);
         m_quarantined.push_back(fingerprint);
     }
+    for (const std::string& upstream : it.wanted) {
+        m_choice.want(upstream, now);
+        m_wanted.push_back(upstream);
+    }
+}
+
+std::vector<idle_upstream> dispatch_core::takeIdle(instant now)
+{
+    std::vector<idle_upstream> idle = m_choice.takeIdle(now);
+    for (const idle_upstream& it : idle)
+        m_notice.wanted.push_back(it.id);
+    return idle;
 }
 
 neighbour_report dispatch_core::takeReport(instant now)
@@ -134,6 +146,7 @@
     report.samples = std::move(m_samples);
     m_samples.clear();
     report.quarantined = std::exchange(m_quarantined, {});
+    report.wanted = std::exchange(m_wanted, {});
     return report;
 }
 
@@ -160,6 +173,8 @@
     m_choice.setInFlight(report.host, report.inFlight, now);
     for (const std::string& upstream : report.started)
         m_choice.noteRemoteStart(upstream, now);
+    for (const std::string& upstream : report.wanted)
+        m_choice.want(upstream, now);
     for (const neighbour_sample& sample : report.samples) {
         m_choice.noteRemote(sample.upstream, sample.result, sample.latency, now);
         if (sample.result == work_result::Crashed)
--- a/Source/Core/dispatch_core.h
+++ b/Source/Core/dispatch_core.h
@@ -85,12 +85,14 @@
     void noteReport(const neighbour_report&, instant now);
 
     // What hosts of all data centres should know: upstreams that began to fail
-    // and requests that crash upstreams.
+    // and requests that crash upstreams; and what the nearest should know: upstreams
+    // that want work.
     struct notice {
         std::vector<neighbour_sample> failures;
         std::vector<std::uint64_t> quarantined;
+        std::vector<std::string> wanted;
 
-        bool isEmpty() const { return failures.empty() && quarantined.empty(); }
+        bool isEmpty() const { return failures.empty() && quarantined.empty() && wanted.empty(); }
     };
 
     // Returns what came up since the last call.
@@ -105,8 +107,9 @@
 
     unsigned heardNeighbours() const { return m_heard; }
 
-    // Returns the upstreams of this data centre that became idle since the last call.
-    std::vector<idle_upstream> takeIdle(instant now) { return m_choice.takeIdle(now); }
+    // Returns the upstreams of this data centre that are idle, and asks the nearest
+    // data centres by the next notice to send them work.
+    std::vector<idle_upstream> takeIdle(instant now);
 
 private:
     struct neighbour_row {
@@ -141,6 +144,8 @@
     notice m_notice;
     // Fingerprints to pass on to the neighbours.
     std::vector<std::uint64_t> m_quarantined;
+    // Upstreams of other data centres that the neighbours should send work to.
+    std::vector<std::string> m_wanted;
     // Admissions since the start, by team; told to neighbours as totals so that
     // a lost report loses none.
     std::map<std::string, admitted_row> m_admitted;
--- a/Source/Core/neighbour_report.h
+++ b/Source/Core/neighbour_report.h
@@ -48,6 +48,9 @@
     std::map<std::string, unsigned> inFlight;
     // Upstreams to which the sender sent work since its last report.
     std::vector<std::string> started;
+    // Upstreams of another data centre that should get work from this one, since
+    // theirs has no requests for them.
+    std::vector<std::string> wanted;
     // Admissions by team, of teams for which they changed of late.
     std::map<std::string, admitted_count> admitted;
     // Attempts that ended since the last report, as far as others should know.
--- a/Source/Core/upstream_choice.cxx
+++ b/Source/Core/upstream_choice.cxx
@@ -32,14 +32,18 @@
 
 } // namespace
 
+bool isSameRegion(const region_map& regions, const std::string& dataCentre, const std::string& other)
+{
+    const auto first = regions.find(dataCentre);
+    const auto second = regions.find(other);
+    return first != regions.end() && second != regions.end() && first->second == second->second;
+}
+
 distance_tier upstream_choice::tierOf(const std::string& dataCentre) const
 {
     if (dataCentre == m_dataCentre)
         return distance_tier::SameDataCentre;
-    const auto own = m_regions.find(m_dataCentre);
-    const auto other = m_regions.find(dataCentre);
-    const bool isSameRegion = own != m_regions.end() && other != m_regions.end() && own->second == other->second;
-    return isSameRegion ? distance_tier::SameRegion : distance_tier::OtherRegion;
+    return isSameRegion(m_regions, m_dataCentre, dataCentre) ? distance_tier::SameRegion : distance_tier::OtherRegion;
 }
 
 void upstream_choice::adopt(const upstream_directory& directory, instant now)
@@ -179,17 +183,30 @@
 duration upstream_choice::trialDueFor(const row& it, const choice_question& question, instant now) const
 {
     constexpr duration notDue { -1 };
+    const bool isNear = it.tier == distance_tier::SameDataCentre;
+    const bool isWanted = it.startedAt < it.wantedAt && now - it.wantedAt < m_settings.wantedMemory;
     const bool hasFreeSlot = it.ownInFlight + it.peersInFlight < it.entry.slots;
-    if (it.tier != distance_tier::SameDataCentre || !hasFreeSlot || now < it.avoidUntil)
+    if (!(isNear || isWanted) || !hasFreeSlot || now < it.avoidUntil)
         return notDue;
-    const duration pause = question.mayFail ? m_settings.repeatableTrialPause : m_settings.otherTrialPause;
-    const duration grown = std::min(pause * (1 << std::min(it.attemptsInVain, mostDoublings)), m_settings.longestTrialPause);
-    const duration dueFor = now - it.startedAt - grown;
+    const duration dueFor = isNear ? now - it.startedAt - trialPauseOf(it, question.mayFail) : now - it.wantedAt;
     if (dueFor < duration::zero())
         return notDue;
     return dueFor - fromSeconds(turnAt(it) * toSeconds(m_settings.turnSpan));
 }
 
+duration upstream_choice::trialPauseOf(const row& it, bool mayFail) const
+{
+    const duration pause = mayFail ? m_settings.repeatableTrialPause : m_settings.otherTrialPause;
+    return std::min(pause * (1 << std::min(it.attemptsInVain, mostDoublings)), m_settings.longestTrialPause);
+}
+
+void upstream_choice::want(const std::string& id, instant now)
+{
+    const auto found = m_rows.find(id);
+    if (found != m_rows.end())
+        found->second.wantedAt = now;
+}
+
 double upstream_choice::turnAt(const row& it) const
 {
     const std::uint64_t own = stableHash(it.entry.id, m_seed);
@@ -360,7 +377,6 @@
 void upstream_choice::noteStart(row& it, instant now) const
 {
     it.startedAt = now;
-    it.isIdleTold = false;
 }
 
 void upstream_choice::noteRemoteStart(const std::string& id, instant now)
@@ -386,10 +402,12 @@
 {
     std::vector<idle_upstream> idle;
     for (auto& [id, it] : m_rows) {
-        const bool isIdle = it.tier == distance_tier::SameDataCentre && !it.entry.isLeaving && now - it.startedAt >= m_settings.idleLimit;
+        const duration limit = trialPauseOf(it, false) + m_settings.turnSpan + m_settings.idleMargin;
+        const bool isIdle = it.tier == distance_tier::SameDataCentre && !it.entry.isLeaving && now - std::max(it.startedAt, it.idleToldAt) >= limit;
         // One host of the data centre tells it.
-        if (!isIdle || turnAt(it) > 0 || std::exchange(it.isIdleTold, true))
+        if (!isIdle || turnAt(it) > 0)
             continue;
+        it.idleToldAt = now;
         choice_question question { it.entry.service, true, nullptr, duration::max(), m_target[it.entry.service] };
         const double latency = it.slowness * serviceLatency(it.entry.service);
         const double repeatableLeast = leastCost(question, now);
--- a/Source/Core/upstream_choice.h
+++ b/Source/Core/upstream_choice.h
@@ -22,7 +22,8 @@
 // correct it. So the hosts of a data centre answer together for each of its
 // upstreams: one that none of them used for a while is due for a trial, whatever
 // it is expected to cost. They take turns in the order of their preference, so that
-// one host makes the trial if it has a request, and the next one if it has none.
+// one host makes the trial if it has a request, and the next one if it has none; where
+// none has any, they ask the next data centre.
 //
 // The class has no lock and no clock.
 
@@ -73,6 +74,9 @@
 // Regions by data centre.
 using region_map = std::map<std::string, std::string>;
 
+// Returns whether two data centres are known to lie in the same region.
+bool isSameRegion(const region_map&, const std::string& dataCentre, const std::string& other);
+
 // How often upstreams begin and cease to fail, and what their work looks like
 // meanwhile.
 struct failure_model {
@@ -145,8 +149,11 @@
     duration longestTrialPause = std::chrono::seconds(4);
     // The hosts of a data centre take their turns at a due upstream over this time.
     duration turnSpan = std::chrono::milliseconds(400);
-    // An upstream that no host of its data centre used for this long is idle.
-    duration idleLimit = std::chrono::milliseconds(2000);
+    // An upstream is idle if no host of its data centre made the trial for this long
+    // after the last turn; other data centres are asked to.
+    duration idleMargin = std::chrono::milliseconds(100);
+    // What another data centre asks for is forgotten after this time.
+    duration wantedMemory = std::chrono::seconds(1);
     // Part of an upstream's slots from which neighbours should hear at once that one
     // more is taken.
     double busyPart = 0.99;
@@ -200,8 +207,8 @@
     Fleet
 };
 
-// An upstream of this data centre to which no host there sent work for a while,
-// and what this host believes of it.
+// An upstream of this data centre that is due for work, though all hosts there had
+// their turns, and what this host believes of it.
 struct idle_upstream {
     std::string id;
     std::string service;
@@ -261,9 +268,13 @@
     // Takes in that another host of the data centre sent work to an upstream.
     void noteRemoteStart(const std::string& id, instant now);
 
-    // Returns the upstreams of this data centre that became idle since the last call.
+    // Returns the upstreams of this data centre that are idle, each again when it is
+    // still so after as long a time; one host of the data centre gets each.
     std::vector<idle_upstream> takeIdle(instant now);
 
+    // Makes an upstream of another data centre due for work from this one.
+    void want(const std::string& id, instant now);
+
     // Returns whether a service has an upstream beside those that were tried.
     bool hasOther(const std::string& service, const std::set<std::string>& tried) const;
 
@@ -295,8 +306,10 @@
         bool isStartUntold = false;
         // Attempts in series that failed or were slow.
         unsigned attemptsInVain = 0;
-        // Whether takeIdle() returned it since it was last used.
-        bool isIdleTold = false;
+        // When takeIdle() last returned it.
+        instant idleToldAt = longAgo;
+        // When its data centre asked this one to send it work.
+        instant wantedAt = longAgo;
         // Average latency in seconds relative to its service.
         double slowness = 1;
         instant slownessAt = longAgo;
@@ -337,6 +350,8 @@
     // Returns for how long a trial of an upstream by this host has been due;
     // negative if none is.
     duration trialDueFor(const row&, const choice_question&, instant now) const;
+    // Returns how long after the last work the next is due.
+    duration trialPauseOf(const row&, bool mayFail) const;
     // Returns the turn of this host at an upstream among those of its data centre,
     // from 0 for the first.
     double turnAt(const row&) const;
--- a/Source/Generated/neighbour.pb.cxx
+++ b/Source/Generated/neighbour.pb.cxx
@@ -74,6 +74,7 @@
   , /*decltype(_impl_.samples_)*/{}
   , /*decltype(_impl_.quarantined_)*/{}
   , /*decltype(_impl_.started_)*/{}
+  , /*decltype(_impl_.wanted_)*/{}
   , /*decltype(_impl_.host_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
@@ -230,6 +231,7 @@
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.quarantined_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.confirmation_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.started_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.wanted_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Confirmation, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -289,12 +291,12 @@
   { 8, -1, -1, sizeof(::almondmoor::wire::Admitted)},
   { 17, -1, -1, sizeof(::almondmoor::wire::RemoteSample)},
   { 27, -1, -1, sizeof(::almondmoor::wire::NeighbourReport)},
-  { 44, -1, -1, sizeof(::almondmoor::wire::Confirmation)},
-  { 52, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
-  { 62, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
-  { 69, -1, -1, sizeof(::almondmoor::wire::TableReading)},
-  { 80, -1, -1, sizeof(::almondmoor::wire::Datagram)},
-  { 89, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
+  { 45, -1, -1, sizeof(::almondmoor::wire::Confirmation)},
+  { 53, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
+  { 63, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
+  { 70, -1, -1, sizeof(::almondmoor::wire::TableReading)},
+  { 81, -1, -1, sizeof(::almondmoor::wire::Datagram)},
+  { 90, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -316,7 +318,7 @@
   "7\n\010Admitted\022\014\n\004team\030\001 \001(\t\022\r\n\005total\030\002 \001(\004"
   "\022\016\n\006before\030\003 \001(\004\"Y\n\014RemoteSample\022\020\n\010upst"
   "ream\030\001 \001(\t\022\016\n\006result\030\002 \001(\r\022\022\n\nlatency_ms"
-  "\030\003 \001(\r\022\023\n\013fingerprint\030\004 \001(\006\"\322\002\n\017Neighbou"
+  "\030\003 \001(\r\022\023\n\013fingerprint\030\004 \001(\006\"\342\002\n\017Neighbou"
   "rReport\022\014\n\004host\030\001 \001(\t\022\023\n\013data_centre\030\002 \001"
   "(\t\022\017\n\007address\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\004"
   "\022\020\n\010sequence\030\005 \001(\004\022,\n\tin_flight\030\006 \003(\0132\031."
@@ -325,23 +327,23 @@
   "\030\010 \003(\0132\035.almondmoor.wire.RemoteSample\022\023\n"
   "\013quarantined\030\t \003(\006\0223\n\014confirmation\030\n \001(\013"
   "2\035.almondmoor.wire.Confirmation\022\017\n\007start"
-  "ed\030\013 \003(\t\"2\n\014Confirmation\022\016\n\006age_ms\030\001 \001(\r"
-  "\022\022\n\nchanged_at\030\002 \003(\004\"L\n\tStoredRow\022\013\n\003key"
-  "\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\017\n\007version\030\003 \001(\004\022\022"
-  "\n\nis_removed\030\004 \001(\010\"6\n\nStoredRows\022(\n\004rows"
-  "\030\001 \003(\0132\032.almondmoor.wire.StoredRow\"d\n\014Ta"
-  "bleReading\022\r\n\005table\030\001 \001(\r\022\020\n\010was_away\030\002 "
-  "\001(\010\022\r\n\005after\030\003 \001(\004\022\017\n\007version\030\004 \001(\004\022\023\n\013p"
-  "acked_rows\030\005 \001(\014\"{\n\010Datagram\0222\n\006report\030\001"
-  " \001(\0132 .almondmoor.wire.NeighbourReportH\000"
-  "\0220\n\007reading\030\002 \001(\0132\035.almondmoor.wire.Tabl"
-  "eReadingH\000B\t\n\007content\"3\n\013RosterEntry\022\017\n\007"
-  "address\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\tb\006prot"
-  "o3"
+  "ed\030\013 \003(\t\022\016\n\006wanted\030\014 \003(\t\"2\n\014Confirmation"
+  "\022\016\n\006age_ms\030\001 \001(\r\022\022\n\nchanged_at\030\002 \003(\004\"L\n\t"
+  "StoredRow\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\017\n"
+  "\007version\030\003 \001(\004\022\022\n\nis_removed\030\004 \001(\010\"6\n\nSt"
+  "oredRows\022(\n\004rows\030\001 \003(\0132\032.almondmoor.wire"
+  ".StoredRow\"d\n\014TableReading\022\r\n\005table\030\001 \001("
+  "\r\022\020\n\010was_away\030\002 \001(\010\022\r\n\005after\030\003 \001(\004\022\017\n\007ve"
+  "rsion\030\004 \001(\004\022\023\n\013packed_rows\030\005 \001(\014\"{\n\010Data"
+  "gram\0222\n\006report\030\001 \001(\0132 .almondmoor.wire.N"
+  "eighbourReportH\000\0220\n\007reading\030\002 \001(\0132\035.almo"
+  "ndmoor.wire.TableReadingH\000B\t\n\007content\"3\n"
+  "\013RosterEntry\022\017\n\007address\030\001 \001(\t\022\023\n\013data_ce"
+  "ntre\030\002 \001(\tb\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_neighbour_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_neighbour_2eproto = {
-    false, false, 1042, descriptor_table_protodef_neighbour_2eproto,
+    false, false, 1058, descriptor_table_protodef_neighbour_2eproto,
     "neighbour.proto",
     &descriptor_table_neighbour_2eproto_once, nullptr, 0, 10,
     schemas, file_default_instances, TableStruct_neighbour_2eproto::offsets,
@@ -1163,6 +1165,7 @@
     , decltype(_impl_.samples_){from._impl_.samples_}
     , decltype(_impl_.quarantined_){from._impl_.quarantined_}
     , decltype(_impl_.started_){from._impl_.started_}
+    , decltype(_impl_.wanted_){from._impl_.wanted_}
     , decltype(_impl_.host_){}
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.address_){}
@@ -1215,6 +1218,7 @@
     , decltype(_impl_.samples_){arena}
     , decltype(_impl_.quarantined_){arena}
     , decltype(_impl_.started_){arena}
+    , decltype(_impl_.wanted_){arena}
     , decltype(_impl_.host_){}
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.address_){}
@@ -1253,6 +1257,7 @@
   _impl_.samples_.~RepeatedPtrField();
   _impl_.quarantined_.~RepeatedField();
   _impl_.started_.~RepeatedPtrField();
+  _impl_.wanted_.~RepeatedPtrField();
   _impl_.host_.Destroy();
   _impl_.data_centre_.Destroy();
   _impl_.address_.Destroy();
@@ -1274,6 +1279,7 @@
   _impl_.samples_.Clear();
   _impl_.quarantined_.Clear();
   _impl_.started_.Clear();
+  _impl_.wanted_.Clear();
   _impl_.host_.ClearToEmpty();
   _impl_.data_centre_.ClearToEmpty();
   _impl_.address_.ClearToEmpty();
@@ -1412,6 +1418,21 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated string wanted = 12;
+      case 12:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 98)) {
+          ptr -= 1;
+          do {
+            ptr += 1;
+            auto str = _internal_add_wanted();
+            ptr = ::_pbi::InlineGreedyStringParser(str, ptr, ctx);
+            CHK_(ptr);
+            CHK_(::_pbi::VerifyUTF8(str, "almondmoor.wire.NeighbourReport.wanted"));
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<98>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -1529,6 +1550,16 @@
     target = stream->WriteString(11, s, target);
   }
 
+  // repeated string wanted = 12;
+  for (int i = 0, n = this->_internal_wanted_size(); i < n; i++) {
+    const auto& s = this->_internal_wanted(i);
+    ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::VerifyUtf8String(
+      s.data(), static_cast<int>(s.length()),
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::SERIALIZE,
+      "almondmoor.wire.NeighbourReport.wanted");
+    target = stream->WriteString(12, s, target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -1585,6 +1616,14 @@
       _impl_.started_.Get(i));
   }
 
+  // repeated string wanted = 12;
+  total_size += 1 *
+      ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.wanted_.size());
+  for (int i = 0, n = _impl_.wanted_.size(); i < n; i++) {
+    total_size += ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::StringSize(
+      _impl_.wanted_.Get(i));
+  }
+
   // string host = 1;
   if (!this->_internal_host().empty()) {
     total_size += 1 +
@@ -1646,6 +1685,7 @@
   _this->_impl_.samples_.MergeFrom(from._impl_.samples_);
   _this->_impl_.quarantined_.MergeFrom(from._impl_.quarantined_);
   _this->_impl_.started_.MergeFrom(from._impl_.started_);
+  _this->_impl_.wanted_.MergeFrom(from._impl_.wanted_);
   if (!from._internal_host().empty()) {
     _this->_internal_set_host(from._internal_host());
   }
@@ -1689,6 +1729,7 @@
   _impl_.samples_.InternalSwap(&other->_impl_.samples_);
   _impl_.quarantined_.InternalSwap(&other->_impl_.quarantined_);
   _impl_.started_.InternalSwap(&other->_impl_.started_);
+  _impl_.wanted_.InternalSwap(&other->_impl_.wanted_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.host_, lhs_arena,
       &other->_impl_.host_, rhs_arena
--- a/Source/neighbour_codec.cxx
+++ b/Source/neighbour_codec.cxx
@@ -67,6 +67,7 @@
         for (const auto& entry : in.in_flight())
             report.inFlight[entry.upstream()] = entry.count();
         report.started.assign(in.started().begin(), in.started().end());
+        report.wanted.assign(in.wanted().begin(), in.wanted().end());
         for (const auto& entry : in.admitted())
             report.admitted[entry.team()] = { entry.total(), entry.before() };
         for (const auto& entry : in.samples()) {
@@ -114,6 +115,8 @@
     }
     for (const std::string& upstream : report.started)
         out.add_started(upstream);
+    for (const std::string& upstream : report.wanted)
+        out.add_wanted(upstream);
     for (const auto& [team, count] : report.admitted) {
         auto* entry = out.add_admitted();
         entry->set_team(team);
--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -144,7 +144,7 @@
 {
     m_runtime.counters().add(event::NeighbourReportsTaken);
     if (report.dataCentre != m_runtime.settings().dataCentre) {
-        const dispatch_core::notice notice { report.samples, report.quarantined };
+        const dispatch_core::notice notice { report.samples, report.quarantined, report.wanted };
         m_runtime.withCore([&](dispatch_core& it) { it.noteNotice(notice, now); });
         announce(news_urgency::High);
         return;
@@ -188,6 +188,7 @@
     report.sequence = ++m_sequence;
     report.inFlight = std::move(state.inFlight);
     report.started = std::move(state.started);
+    report.wanted = std::move(state.wanted);
     report.admitted = std::move(state.admitted);
     report.samples = std::move(state.samples);
     report.quarantined = std::move(state.quarantined);
@@ -225,13 +226,21 @@
     neighbour_report report = signedReport();
     report.samples = notice.failures;
     report.quarantined = notice.quarantined;
-    const std::string bytes = encodeReport(report, presentInstant());
+    const std::string forAll = report.samples.empty() && report.quarantined.empty() ? "" : encodeReport(report, presentInstant());
+    report.wanted = notice.wanted;
+    const std::string forNearest = encodeReport(report, presentInstant());
     std::map<std::string, std::vector<const roster_entry*>> byDataCentre;
     for (const auto& [name, entry] : m_hosts) {
         if (entry.dataCentre != m_runtime.settings().dataCentre)
             byDataCentre[entry.dataCentre].push_back(&entry);
     }
-    for (const auto& [dataCentre, hosts] : byDataCentre) {
+    const auto isInRegion = [this](const auto& it) { return isSameRegion(m_runtime.settings().regions, it.first, m_runtime.settings().dataCentre); };
+    const bool hasNearer = std::any_of(byDataCentre.begin(), byDataCentre.end(), isInRegion);
+    for (const auto& it : byDataCentre) {
+        const std::string& bytes = !hasNearer || isInRegion(it) ? forNearest : forAll;
+        const auto& hosts = it.second;
+        if (bytes.empty())
+            continue;
         std::uniform_int_distribution<std::size_t> draw(0, hosts.size() - 1);
         sendTo(*hosts[draw(m_random)], bytes);
     }
--- a/Source/proxy_runtime.cxx
+++ b/Source/proxy_runtime.cxx
@@ -130,6 +130,8 @@
     });
     for (const idle_upstream& it : idle)
         noteIdle(it);
+    if (!idle.empty())
+        announce(news_urgency::High);
     m_upstreams.closeIdle();
 }
 
--- a/Tests/Scenarios/coverage_test.cxx
+++ b/Tests/Scenarios/coverage_test.cxx
@@ -60,6 +60,9 @@
         model_pattern grown = withOutage(patternOf("some hang, many hosts", 34, mixedKinds(275, 776)), failure_manner::Hang);
         grown.hostsPerDataCentre = 17;
         all.push_back(grown);
+        model_pattern quiet = withOutage(patternOf("two data centres of different regions without requests", 4, mixedKinds(23, 65)), failure_manner::Reset);
+        quiet.quietDataCentres = { 1, 4 };
+        all.push_back(quiet);
         return all;
     }
 
--- a/Utilities/service_model.cxx
+++ b/Utilities/service_model.cxx
@@ -22,6 +22,7 @@
     constexpr duration wellTime = 6s;
     constexpr duration coverageWindow = 2s;
     constexpr duration coverageStep = 250ms;
+    constexpr duration tickInterval = 250ms;
 
     std::string dataCentreName(unsigned index)
     {
@@ -86,6 +87,7 @@
     for (const model_kind& kind : m_pattern.kinds)
         planArrival(kind);
     at(m_now + coverageStep, [this] { measureCoverage(); });
+    at(m_now + tickInterval, [this] { tick(); });
     while (!m_events.empty() && m_events.top().at < m_end) {
         const event_row next = m_events.top();
         m_events.pop();
@@ -109,7 +111,9 @@
 {
     // A hash of the guest picks the host, so that shares are uneven.
     const double place = std::pow(draw(), 1.3) * m_pattern.hostsPerDataCentre;
-    const auto dataCentre = static_cast<unsigned>(draw() * (m_pattern.dataCentres - m_pattern.quietDataCentres));
+    auto dataCentre = static_cast<unsigned>(draw() * m_pattern.dataCentres);
+    while (m_pattern.quietDataCentres.count(dataCentre))
+        dataCentre = static_cast<unsigned>(draw() * m_pattern.dataCentres);
     const unsigned host = dataCentre * m_pattern.hostsPerDataCentre + static_cast<unsigned>(place);
     const std::uint64_t id = m_nextRequest++;
     m_requests[id] = { &kind, host, 0, 0, m_now, m_now, {} };
@@ -286,6 +290,15 @@
     });
 }
 
+void service_model::tick()
+{
+    for (unsigned host = 0; host < m_hosts.size(); ++host) {
+        if (m_policy.hasReports && !m_hosts[host].core->takeIdle(m_now).empty())
+            tell(host, news_urgency::High);
+    }
+    at(m_now + tickInterval, [this] { tick(); });
+}
+
 void service_model::report(unsigned from)
 {
     host_row& sender = m_hosts[from];
@@ -303,8 +316,12 @@
             ++m_result.reportsTaken;
             at(m_now + delay, [this, to, report] { m_hosts[to].core->noteReport(*report, m_now); });
         } else if (!notice.isEmpty() && to % m_pattern.hostsPerDataCentre == from % m_pattern.hostsPerDataCentre) {
-            at(m_now + delay, [this, to, notice] {
-                m_hosts[to].core->noteNotice(notice, m_now);
+            const bool isInRegion = m_hosts[to].dataCentre / 2 == sender.dataCentre / 2;
+            dispatch_core::notice taken = notice;
+            if (!isInRegion)
+                taken.wanted.clear();
+            at(m_now + delay, [this, to, taken] {
+                m_hosts[to].core->noteNotice(taken, m_now);
                 tell(to, news_urgency::High);
             });
         }
