--- a/Tests/Core/upstream_choice_test.cxx
+++ b/Tests/Core/upstream_choice_test.cxx
@@ -229,7 +229,8 @@
     }
 }
 
-TEST_CASE("pattern: hosts that hear the same do not meet at one upstream", "[choice]")
+// Checks that hosts spread that all choose at one instant.
+static void checkSpread(bool hearStarts)
 {
     constexpr unsigned hosts = 18;
     constexpr unsigned upstreams = 42;
@@ -249,7 +250,8 @@
     now += ms(2000);
     for (unsigned index = 0; index < upstreams; ++index) {
         for (upstream_choice& it : choices) {
-            it.noteRemoteStart("i-" + std::to_string(index), now);
+            if (hearStarts)
+                it.noteRemoteStart("i-" + std::to_string(index), now);
             if (index > 0)
                 it.noteRemote("i-" + std::to_string(index), work_result::Good, ms(150), now);
         }
@@ -267,6 +269,16 @@
     }
 }
 
+TEST_CASE("pattern: hosts that hear the same do not meet at one upstream", "[choice]")
+{
+    checkSpread(false);
+}
+
+TEST_CASE("pattern: hosts that hear where work was sent do not meet at one upstream", "[choice]")
+{
+    checkSpread(true);
+}
+
 // Guards against hosts that all make the same trial before they hear of each other's.
 TEST_CASE("pattern: hosts take turns at an upstream that is due for work", "[choice]")
 {
