--- a/review/stand_ins/stand_ins.cxx
+++ b/review/stand_ins/stand_ins.cxx
@@ -250,6 +250,15 @@
     return true;
 }
 
+bool connection::readSome(std::string& bytes, instant deadline)
+{
+    if (m_buffer.empty() && !fill(deadline))
+        return false;
+    bytes = std::move(m_buffer);
+    m_buffer.clear();
+    return true;
+}
+
 void connection::close()
 {
     if (m_descriptor >= 0)
--- a/review/stand_ins/stand_ins.h
+++ b/review/stand_ins/stand_ins.h
@@ -49,6 +49,8 @@
 
     // Reads up to and with the empty line that ends a head. Returns false at the deadline or the end of the stream.
     bool readHead(std::string& head, instant deadline);
+    // Reads what has arrived, at least one byte.
+    bool readSome(std::string& bytes, instant deadline);
     bool readBytes(std::size_t count, std::string& bytes, instant deadline);
 
     void close();
