Serve: A stream that never pauses gives the thread to the other clients

Cause: all clients are served by fibers of one thread, and a fiber gave the thread back only where a read or a write would block. A stream that comes, and can be passed on, faster than the host handles it never blocks. Deadlines did not help, since they were looked at only in a wait.

Change: byte_stream::receive() and send() first yield if their fiber has kept the thread for 2 ms. Every byte passes them, in either direction, in head, body or what is discarded, and between two calls a loop has at most the 64 KiB of one read. Of the fibers that yielded one goes on each time the loop has looked at all descriptors, so others wait for one turn, however many streams there are. After a turn, and before a wait, the deadline is looked at too. The port accepts 64 connections at a time.

Ruled out: memory (pieces of 64 KiB), a lock over a wait (an error already), the pool.

--- a/Source/byte_stream.cxx
+++ b/Source/byte_stream.cxx
@@ -50,6 +50,13 @@
         }
     }
 
+    // Lets other fibers run if the turn of this fiber is over. Returns whether the deadline has passed meanwhile.
+    bool yieldPast(instant deadline)
+    {
+        fiber_loop* loop = fiber_loop::current();
+        return loop && loop->yieldAfterTurn() && presentInstant() >= deadline;
+    }
+
     bool waitForEvents(int descriptor, short events, instant deadline)
     {
         pollfd entry { descriptor, events, 0 };
@@ -120,19 +127,23 @@
 
 absl::Status byte_stream::receive(instant deadline)
 {
+    if (yieldPast(deadline))
+        return deadlinePassed();
     const std::size_t sizeBefore = buffered().size();
     while (true) {
         if (!receiveAvailable())
             return m_hasFailed ? absl::DataLossError("the connection was reset") : connectionEnded();
         if (buffered().size() > sizeBefore)
             return absl::OkStatus();
-        if (!waitForEvents(m_socket.impl()->sockfd(), POLLIN, deadline))
+        if (presentInstant() >= deadline || !waitForEvents(m_socket.impl()->sockfd(), POLLIN, deadline))
             return deadlinePassed();
     }
 }
 
 absl::Status byte_stream::send(std::string_view bytes, instant deadline)
 {
+    if (yieldPast(deadline))
+        return deadlinePassed();
     while (!bytes.empty()) {
         const ssize_t count = ::send(m_socket.impl()->sockfd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (count > 0) {
@@ -141,7 +152,7 @@
         }
         if (errno != EAGAIN && errno != EINTR)
             return connectionEnded();
-        if (!waitForEvents(m_socket.impl()->sockfd(), POLLOUT, deadline))
+        if (presentInstant() >= deadline || !waitForEvents(m_socket.impl()->sockfd(), POLLOUT, deadline))
             return deadlinePassed();
     }
     return absl::OkStatus();
--- a/Source/byte_stream.h
+++ b/Source/byte_stream.h
@@ -15,6 +15,9 @@
 instant presentInstant();
 
 // Not thread-safe: only one thread may use a stream at a time. After an error the stream can only be closed.
+//
+// In a fiber, receive() and send() let other fibers run when the turn of the fiber is over. Loops over the bytes of a
+// stream therefore never keep the thread, and end at their deadline even if the other side never pauses.
 class byte_stream {
 public:
     // Takes over a connected socket and makes it non-blocking.
@@ -29,7 +32,8 @@
     void consume(std::size_t count);
 
     // Receives at least one byte into the buffer. Returns OutOfRange at the end of the stream, DataLoss after a reset
-    // or another failure of the connection, and DeadlineExceeded if the deadline passes.
+    // or another failure of the connection, and DeadlineExceeded if the deadline passes. Bytes that have already arrived
+    // are received after the deadline too, but no more than one turn of the fiber takes.
     absl::Status receive(instant deadline);
 
     // Receives what is available without waiting. Returns false if the stream has ended or failed.
--- a/Source/fiber_loop.cxx
+++ b/Source/fiber_loop.cxx
@@ -25,6 +25,8 @@
     // Stacks that are kept for the next fibers of a thread.
     constexpr std::size_t maxKeptStacks = 64;
     constexpr int maxEventsPerPoll = 64;
+    // How long a fiber that never waits keeps the thread while others wait for it.
+    constexpr duration maxTurn = std::chrono::milliseconds(2);
     constexpr int maxPollMs = 3'600'000;
 
     thread_local fiber_loop* runningLoop = nullptr;
@@ -146,6 +148,7 @@
         runPosted();
         runTimers(presentInstant());
         runResumable();
+        runYielded();
         if (m_isStopping && m_fiberCount == 0 && !hasPosted())
             return;
         const int count = epoll_wait(m_epoll, events.data(), maxEventsPerPoll, pollTimeoutMs(presentInstant()));
@@ -174,6 +177,15 @@
     }
 }
 
+void fiber_loop::runYielded()
+{
+    if (m_yielded.empty())
+        return;
+    fiber_task* const task = m_yielded.front();
+    m_yielded.pop_front();
+    resume(task);
+}
+
 void fiber_loop::runTimers(instant now)
 {
     while (!m_timers.empty() && m_timers.begin()->first <= now) {
@@ -190,7 +202,7 @@
 
 int fiber_loop::pollTimeoutMs(instant now) const
 {
-    if (!m_resumable.empty() || hasPosted())
+    if (!m_resumable.empty() || !m_yielded.empty() || hasPosted())
         return 0;
     if (m_timers.empty())
         return maxPollMs;
@@ -218,11 +230,13 @@
 void fiber_loop::resume(fiber_task* task)
 {
     fiber_task* const outer = std::exchange(m_running, task);
+    const instant outerTurnEnd = std::exchange(m_turnEnd, presentInstant() + maxTurn);
     boost::context::fiber outerContext = std::move(m_loopContext);
     fiber_loop* const outerLoop = std::exchange(runningLoop, this);
     task->fiber = std::move(task->fiber).resume();
     runningLoop = outerLoop;
     m_loopContext = std::move(outerContext);
+    m_turnEnd = outerTurnEnd;
     m_running = outer;
     if (task->fiber)
         return;
@@ -336,4 +350,14 @@
     suspend(it, deadline);
 }
 
+bool fiber_loop::yieldAfterTurn()
+{
+    if (presentInstant() < m_turnEnd)
+        return false;
+    checkMaySuspend();
+    m_yielded.push_back(m_running);
+    m_loopContext = std::move(m_loopContext).resume();
+    return true;
+}
+
 } // namespace almondmoor
--- a/Source/fiber_loop.h
+++ b/Source/fiber_loop.h
@@ -4,6 +4,9 @@
 // waiting task costs a stack and no thread, and its code keeps its plain order. byte_stream suspends the fiber that it is
 // called from; outside fibers it blocks the thread instead.
 //
+// A fiber whose socket is always ready never waits. It keeps the thread for one turn and then goes behind the others, see
+// yieldAfterTurn(). byte_stream calls that for each read and write, so code that handles a stream need not.
+//
 // Rules for code that runs in a fiber: it must not block the thread, must not hold a lock while it waits (see
 // no_suspend_scope) and must not wait inside a catch block, because the C++ runtime keeps caught exceptions per thread.
 
@@ -14,6 +17,7 @@
 #include <atomic>
 #include <boost/context/fiber.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -76,6 +80,10 @@
     // Suspends the running fiber until an instant.
     void sleepUntil(instant);
 
+    // If the running fiber has kept the thread for longer than a turn, suspends it until everything that is ready has
+    // run, and returns true. Otherwise returns false at once.
+    bool yieldAfterTurn();
+
 private:
     struct fiber_task {
         boost::context::fiber fiber;
@@ -104,6 +112,9 @@
     void handleEvent(int descriptor, std::uint32_t events);
     void runPosted();
     void runResumable();
+    // Resumes the fiber that yielded first. One at a time, so that the others wait for one turn at most, however many
+    // fibers yield.
+    void runYielded();
     void runTimers(instant now);
     bool hasPosted() const;
     int pollTimeoutMs(instant now) const;
@@ -120,9 +131,12 @@
     std::unordered_map<int, descriptor_row> m_descriptors;
     timer_map m_timers;
     std::vector<waiter*> m_resumable;
+    // Fibers whose turn is over.
+    std::deque<fiber_task*> m_yielded;
     std::size_t m_fiberCount = 0;
-    // The running fiber, and where it returns to when it waits.
+    // The running fiber, the end of its turn, and where it returns to when it waits.
     fiber_task* m_running = nullptr;
+    instant m_turnEnd;
     boost::context::fiber m_loopContext;
 };
 
--- a/Source/http_listener.cxx
+++ b/Source/http_listener.cxx
@@ -13,6 +13,8 @@
 namespace {
 
     constexpr int backlog = 1024;
+    // Connections accepted at a time. The port stays readable if more are waiting.
+    constexpr unsigned maxAcceptsPerEvent = 64;
     constexpr duration refusalTimeout = std::chrono::milliseconds(200);
     // Pause after a failure to accept a connection.
     constexpr duration acceptPause = std::chrono::milliseconds(50);
@@ -86,7 +88,7 @@
 
 void http_listener::accept()
 {
-    while (m_isAccepting) {
+    for (unsigned count = 0; m_isAccepting && count < maxAcceptsPerEvent; ++count) {
         Poco::Net::StreamSocket socket;
         try {
             if (!m_socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
--- a/Tests/Proxy/proxy_fixture.cxx
+++ b/Tests/Proxy/proxy_fixture.cxx
@@ -71,8 +71,10 @@
 
 proxy_fixture::~proxy_fixture()
 {
-    for (auto& upstream : m_upstreams)
+    for (auto& upstream : m_upstreams) {
         upstream->hold(false);
+        upstream->stopEndless();
+    }
     m_listener->stop();
 }
 
--- a/Tests/Serve/fiber_loop_test.cxx
+++ b/Tests/Serve/fiber_loop_test.cxx
@@ -100,6 +100,56 @@
     } });
 }
 
+// Guards against fibers that keep the thread because they never wait.
+TEST_CASE("fibers that never wait let every fiber that is ready run after one turn", "[fibers]")
+{
+    constexpr std::size_t busyFibers = 10;
+    constexpr int waits = 20;
+    bool isDone = false;
+    duration longestWait {};
+    std::vector<std::function<void()>> functions(busyFibers, [&isDone] {
+        while (!isDone)
+            (void)fiber_loop::current()->yieldAfterTurn();
+    });
+    functions.emplace_back([&] {
+        socket_pair sockets;
+        for (int round = 0; round < waits; ++round) {
+            const instant begin = presentInstant();
+            CHECK(::write(sockets.ends[1], "x", 1) == 1);
+            CHECK(waitReadable(sockets.ends[0], 5s) == 1);
+            char byte = 0;
+            CHECK(::read(sockets.ends[0], &byte, 1) == 1);
+            longestWait = std::max(longestWait, presentInstant() - begin);
+        }
+        isDone = true;
+    });
+    runFibers(functions);
+    CHECK(isDone);
+    // One turn of 2 ms for each wait, however many fibers are busy, and room for a loaded machine.
+    CHECK(longestWait < 200ms);
+}
+
+TEST_CASE("a fiber whose turn is not over does not yield", "[fibers]")
+{
+    runFibers({ [] {
+        fiber_loop::current()->sleepUntil(presentInstant() + 5ms);
+        CHECK_FALSE(fiber_loop::current()->yieldAfterTurn());
+        const instant turnEnd = presentInstant() + 10ms;
+        while (presentInstant() < turnEnd) { }
+        CHECK(fiber_loop::current()->yieldAfterTurn());
+    } });
+}
+
+TEST_CASE("a fiber that yields while a lock is held is an error", "[fibers]")
+{
+    runFibers({ [] {
+        const instant turnEnd = presentInstant() + 10ms;
+        while (presentInstant() < turnEnd) { }
+        const no_suspend_scope scope;
+        CHECK_THROWS_AS(fiber_loop::current()->yieldAfterTurn(), std::logic_error);
+    } });
+}
+
 TEST_CASE("an exception ends only its own fiber", "[fibers]")
 {
     bool hasRun = false;
--- a/Tests/Serve/host_fixture.cxx
+++ b/Tests/Serve/host_fixture.cxx
@@ -125,8 +125,10 @@
 {
     // Upstreams that hold requests would keep the listener from stopping.
     for (auto& it : m_upstreams) {
-        if (it)
-            it->hold(false);
+        if (!it)
+            continue;
+        it->hold(false);
+        it->stopEndless();
     }
     m_clientListener->stop();
     m_control->stop();
--- a/Tests/StandIns/stand_in_upstream.cxx
+++ b/Tests/StandIns/stand_in_upstream.cxx
@@ -47,6 +47,7 @@
 stand_in_upstream::~stand_in_upstream()
 {
     hold(false);
+    stopEndless();
     m_listener->stop();
 }
 
@@ -97,6 +98,8 @@
             behaviour.bodyBytes = std::stoull(value);
         else if (name == "chunked")
             behaviour.isChunked = value == "yes";
+        else if (name == "endless")
+            behaviour.isEndless = value == "yes";
         else if (name == "crash")
             behaviour.crashesBeforeRun = value == "yes";
     }
@@ -137,6 +140,10 @@
     }
     if (behaviour.crashesAfterRun)
         return connection_disposition::Abort;
+    if (behaviour.isEndless) {
+        sendWithoutEnd(exchange, behaviour);
+        return connection_disposition::Abort;
+    }
     if (!behaviour.rawResponse.empty()) {
         (void)exchange.stream.send(behaviour.rawResponse, presentInstant() + ioTimeout);
         return behaviour.resetsAfterRawResponse ? connection_disposition::Abort : connection_disposition::Close;
@@ -144,6 +151,16 @@
     return sendResponse(exchange, behaviour);
 }
 
+void stand_in_upstream::sendWithoutEnd(http_exchange& exchange, const upstream_behaviour& behaviour)
+{
+    const auto sendPiece = [&](const std::string& piece) { return exchange.stream.send(piece, presentInstant() + ioTimeout).ok(); };
+    bool isOpen = sendPiece(behaviour.endlessStart);
+    while (isOpen && !m_isEndlessStopped) {
+        isOpen = sendPiece(behaviour.endlessPiece);
+        m_endlessBytes += behaviour.endlessPiece.size();
+    }
+}
+
 connection_disposition stand_in_upstream::sendResponse(http_exchange& exchange, const upstream_behaviour& behaviour)
 {
     const std::string framing = behaviour.isChunked ? "Transfer-Encoding: chunked" : absl::StrCat("Content-Length: ", behaviour.bodyBytes);
--- a/Tests/StandIns/stand_in_upstream.h
+++ b/Tests/StandIns/stand_in_upstream.h
@@ -4,6 +4,7 @@
 
 #include "http_listener.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -21,6 +22,7 @@
     // Size of the response body in bytes.
     std::uint64_t bodyBytes = 2;
     bool isChunked = false;
+    bool isEndless = false;
     // Ends the connection before reading the request body, after running the request, or in the middle of the response
     // body.
     bool crashesBeforeRun = false;
@@ -40,6 +42,10 @@
     std::string echoedHeader;
     // Sent on the connection immediately before the response.
     std::string bytesBeforeResponse;
+    // If the query of the request says endless=yes, the first text is sent instead of a response, and then the second
+    // one over and over until the caller closes the connection.
+    std::string endlessStart;
+    std::string endlessPiece;
     // Header line of responses that refuse to start a request.
     std::string notStartedHeaderLine = "Request-Not-Started: yes";
 };
@@ -69,6 +75,12 @@
     // While the upstream is held, it receives requests but runs none; they wait.
     void hold(bool isHeld);
 
+    // Ends all responses that have no end.
+    void stopEndless() { m_isEndlessStopped = true; }
+
+    // Returns how many bytes of responses without an end were sent.
+    std::uint64_t endlessBytes() const { return m_endlessBytes; }
+
     // Waits until the total number of received requests reaches a count. Returns false on timeout.
     bool waitForReceived(std::size_t count, duration timeout);
 
@@ -79,6 +91,7 @@
 private:
     connection_disposition serve(http_exchange&);
     connection_disposition sendResponse(http_exchange&, const upstream_behaviour&);
+    void sendWithoutEnd(http_exchange&, const upstream_behaviour&);
     upstream_behaviour behaviourFor(const std::string& target) const;
 
     mutable std::mutex m_mutex;
@@ -86,6 +99,8 @@
     upstream_behaviour m_behaviour;
     bool m_isHeld = false;
     std::size_t m_received = 0;
+    std::atomic<bool> m_isEndlessStopped { false };
+    std::atomic<std::uint64_t> m_endlessBytes { 0 };
     std::vector<run_record> m_runs;
     std::unique_ptr<http_listener> m_listener;
 };
