Proxy: The request's deadline ends bodies that stall

Cause: beyond 64 KiB of a request or 256 KiB of a response only the wait for each piece had a limit (30 s), and each wait watched one connection.

Change: in proxy the request's deadline ends the sending of its body and, with the allowance for late responses, the response, which the client sees aborted. While a host waits in a body it watches the other side as well: a client that leaves ends the work, an upstream that answers before it has read the body is heard. serve shares this but for the deadline of responses, since its clients may ask for downloads of any length. Forwarding stood twice (route_handler, client_handler) and is one function.

Ruled out: retries (such bodies are never sent again); short bodies (504 in time).

--- a/Source/byte_stream.cxx
+++ b/Source/byte_stream.cxx
@@ -37,6 +37,11 @@
         return absl::OutOfRangeError("the connection ended");
     }
 
+    absl::Status clientDisconnected()
+    {
+        return absl::CancelledError("the guest went away");
+    }
+
     // Waits until one of the descriptors is ready. In a fiber, other fibers run meanwhile. Returns the number of ready
     // descriptors, 0 at the deadline and a negative number after a failure.
     int pollUntil(std::span<pollfd> entries, instant deadline)
@@ -125,7 +130,7 @@
     return m_buffer.size() > sizeBefore || wouldBlock;
 }
 
-absl::Status byte_stream::receive(instant deadline)
+absl::Status byte_stream::receive(instant deadline, byte_stream* watched)
 {
     if (yieldPast(deadline))
         return deadlinePassed();
@@ -135,27 +140,57 @@
             return m_hasFailed ? absl::DataLossError("the connection was reset") : connectionEnded();
         if (buffered().size() > sizeBefore)
             return absl::OkStatus();
-        if (presentInstant() >= deadline || !waitForEvents(m_socket.impl()->sockfd(), POLLIN, deadline))
+        if (presentInstant() >= deadline)
             return deadlinePassed();
+        const auto status = waitReadable(watched, deadline);
+        if (!status.ok())
+            return status;
     }
 }
 
-absl::Status byte_stream::send(std::string_view bytes, instant deadline)
+bool byte_stream::sendAvailable(std::string_view& bytes)
 {
-    if (yieldPast(deadline))
-        return deadlinePassed();
     while (!bytes.empty()) {
         const ssize_t count = ::send(m_socket.impl()->sockfd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (count > 0) {
+        if (count > 0)
             bytes.remove_prefix(static_cast<std::size_t>(count));
-            continue;
-        }
-        if (errno != EAGAIN && errno != EINTR)
+        else
+            return errno == EAGAIN || errno == EINTR;
+    }
+    return true;
+}
+
+absl::Status byte_stream::send(std::string_view bytes, instant deadline)
+{
+    if (yieldPast(deadline))
+        return deadlinePassed();
+    while (true) {
+        if (!sendAvailable(bytes))
             return connectionEnded();
+        if (bytes.empty())
+            return absl::OkStatus();
         if (presentInstant() >= deadline || !waitForEvents(m_socket.impl()->sockfd(), POLLOUT, deadline))
             return deadlinePassed();
     }
-    return absl::OkStatus();
+}
+
+absl::Status byte_stream::sendUnlessReadable(std::string_view bytes, byte_stream& watched, instant deadline)
+{
+    if (yieldPast(deadline))
+        return deadlinePassed();
+    while (true) {
+        if (!sendAvailable(bytes))
+            return connectionEnded();
+        if (bytes.empty())
+            return absl::OkStatus();
+        std::array<pollfd, 2> entries { { { m_socket.impl()->sockfd(), POLLOUT | POLLIN, 0 }, { watched.m_socket.impl()->sockfd(), POLLRDHUP, 0 } } };
+        if (presentInstant() >= deadline || pollUntil(entries, deadline) == 0)
+            return deadlinePassed();
+        if (entries[0].revents & POLLIN)
+            return absl::AbortedError("the other side sends before it has read everything");
+        if (entries[1].revents)
+            return clientDisconnected();
+    }
 }
 
 bool byte_stream::isIdleAndOpen()
@@ -172,17 +207,22 @@
     return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
 }
 
-absl::Status byte_stream::waitReadableOrClosed(byte_stream& other, instant deadline)
+absl::Status byte_stream::waitReadable(byte_stream* watched, instant deadline)
 {
-    if (!buffered().empty())
-        return absl::OkStatus();
-    std::array<pollfd, 2> entries { { { m_socket.impl()->sockfd(), POLLIN, 0 }, { other.m_socket.impl()->sockfd(), POLLRDHUP, 0 } } };
+    if (!watched)
+        return waitForEvents(m_socket.impl()->sockfd(), POLLIN, deadline) ? absl::OkStatus() : deadlinePassed();
+    std::array<pollfd, 2> entries { { { m_socket.impl()->sockfd(), POLLIN, 0 }, { watched->m_socket.impl()->sockfd(), POLLRDHUP, 0 } } };
     const int ready = pollUntil(entries, deadline);
     if (ready == 0)
         return deadlinePassed();
     if (entries[0].revents)
         return absl::OkStatus();
-    return entries[1].revents ? absl::CancelledError("the guest went away") : connectionEnded();
+    return entries[1].revents ? clientDisconnected() : connectionEnded();
+}
+
+absl::Status byte_stream::waitReadableOrClosed(byte_stream& other, instant deadline)
+{
+    return buffered().empty() ? waitReadable(&other, deadline) : absl::OkStatus();
 }
 
 bool isDisconnected(const absl::Status& status)
--- a/Source/byte_stream.h
+++ b/Source/byte_stream.h
@@ -33,8 +33,9 @@
 
     // Receives at least one byte into the buffer. Returns OutOfRange at the end of the stream, DataLoss after a reset
     // or another failure of the connection, and DeadlineExceeded if the deadline passes. Bytes that have already arrived
-    // are received after the deadline too, but no more than one turn of the fiber takes.
-    absl::Status receive(instant deadline);
+    // are received after the deadline too, but no more than one turn of the fiber takes. If another stream is given,
+    // returns Cancelled as soon as the connection of that one is closed by its other side during the wait.
+    absl::Status receive(instant deadline, byte_stream* watched = nullptr);
 
     // Receives what is available without waiting. Returns false if the stream has ended or failed.
     bool receiveAvailable();
@@ -42,6 +43,10 @@
     // Sends all bytes. Returns OutOfRange if the connection failed and DeadlineExceeded if the deadline passes.
     absl::Status send(std::string_view bytes, instant deadline);
 
+    // Sends bytes like send(), but stops if the other side begins to send or closes meanwhile, and then returns Aborted.
+    // Returns Cancelled as soon as the connection of the watched stream is closed by its other side during the wait.
+    absl::Status sendUnlessReadable(std::string_view bytes, byte_stream& watched, instant deadline);
+
     // Returns whether the connection is open and no received byte is unread.
     bool isIdleAndOpen();
 
@@ -64,6 +69,12 @@
     int descriptor() const { return m_descriptor; }
 
 private:
+    // Sends what fits into the socket without waiting and removes it from the bytes. Returns false if the connection has
+    // failed.
+    bool sendAvailable(std::string_view& bytes);
+    // Waits until this stream is readable. With another stream, behaves as receive() says.
+    absl::Status waitReadable(byte_stream* watched, instant deadline);
+
     Poco::Net::StreamSocket m_socket;
     // Number of the socket's descriptor, also after it was closed.
     int m_descriptor;
--- a/Source/client_handler.cxx
+++ b/Source/client_handler.cxx
@@ -447,7 +447,7 @@
     head.set("Connection", m_disposition == connection_disposition::Keep ? "keep-alive" : "close");
 
     const bool isSent = m_client.send(writeHead(head) + bufferedBody, nextPieceDeadline()).ok();
-    if (!isSent || !forwardBody(upstream, exchange, isChunked)) {
+    if (!isSent || !forwardRemainingBody(upstream, exchange, isChunked)) {
         exchange.cancel();
         m_runtime.counters().add(event::ResponsesAborted);
         m_disposition = connection_disposition::Abort;
@@ -459,23 +459,16 @@
     recordRequest("ran", "");
 }
 
-bool client_handler::forwardBody(const std::string& upstream, upstream_exchange& exchange, bool isChunked)
+bool client_handler::forwardRemainingBody(const std::string& upstream, upstream_exchange& exchange, bool isChunked)
 {
     const auto found = m_configuration->upstreams().find(upstream);
     const bool crossesRegions = found != m_configuration->upstreams().end() && regionOf(found->second.dataCentre) != regionOf(m_runtime.settings().dataCentre);
-    body_reader body(exchange.stream(), exchange.framing());
-    while (!body.isAtEnd()) {
-        const auto piece = body.next(nextPieceDeadline());
-        if (!piece.ok())
-            return false;
-        if (piece->empty())
-            break;
+    const auto countBytes = [this, crossesRegions](std::size_t bytes) {
         if (crossesRegions)
-            m_runtime.counters().add(event::CrossRegionBytes, piece->size());
-        if (!m_client.send(isChunked ? writeChunk(*piece) : *piece, nextPieceDeadline()).ok())
-            return false;
-    }
-    return !isChunked || m_client.send(lastChunk, nextPieceDeadline()).ok();
+            m_runtime.counters().add(event::CrossRegionBytes, bytes);
+    };
+    body_reader body(exchange.stream(), exchange.framing(), &m_client);
+    return forwardBody(body, m_client, isChunked, { instant::max(), m_runtime.settings().bodyTimeout }, countBytes).ok();
 }
 
 bool client_handler::bufferBody(upstream_exchange& exchange, std::string& bufferedBody)
--- a/Source/client_handler.h
+++ b/Source/client_handler.h
@@ -55,7 +55,7 @@
     // returns false without counting it.
     bool acquireRetry(retry_reason retryReason);
     void forwardResponse(const std::string& upstream, upstream_exchange&);
-    bool forwardBody(const std::string& upstream, upstream_exchange&, bool isChunked);
+    bool forwardRemainingBody(const std::string& upstream, upstream_exchange&, bool isChunked);
     bool bufferBody(upstream_exchange&, std::string& bufferedBody);
 
     void refuse(refusal_reason, const std::string& detail);
--- a/Source/http_body.cxx
+++ b/Source/http_body.cxx
@@ -20,8 +20,9 @@
 
 } // namespace
 
-body_reader::body_reader(byte_stream& stream, body_framing framing)
+body_reader::body_reader(byte_stream& stream, body_framing framing, byte_stream* watched)
     : m_stream(stream)
+    , m_watched(watched)
     , m_kind(framing.kind)
     , m_state(state::Data)
     , m_remainingBytes(framing.length)
@@ -45,7 +46,7 @@
         }
         if (m_stream.buffered().size() > maxBytes)
             return invalidBody("a chunk line is too long");
-        const auto status = m_stream.receive(deadline);
+        const auto status = m_stream.receive(deadline, m_watched);
         if (!status.ok())
             return status;
     }
@@ -96,7 +97,7 @@
 absl::StatusOr<std::string> body_reader::takeData(instant deadline)
 {
     if (m_stream.buffered().empty()) {
-        const auto status = m_stream.receive(deadline);
+        const auto status = m_stream.receive(deadline, m_watched);
         if (m_kind == body_kind::UntilClose && absl::IsOutOfRange(status)) {
             m_state = state::End;
             return std::string();
@@ -151,4 +152,22 @@
     return absl::StrCat(absl::Hex(piece.size()), "\r\n", std::string(piece), "\r\n");
 }
 
+absl::Status forwardBody(body_reader& body, byte_stream& to, bool isChunked, const forwarding_limits& limits, const std::function<void(std::size_t)>& pieceForwarded)
+{
+    const auto nextDeadline = [&limits] { return std::min(limits.deadline, presentInstant() + limits.pieceTimeout); };
+    while (!body.isAtEnd()) {
+        const auto piece = body.next(nextDeadline());
+        if (!piece.ok())
+            return piece.status();
+        if (piece->empty())
+            break;
+        if (pieceForwarded)
+            pieceForwarded(piece->size());
+        const auto status = to.send(isChunked ? writeChunk(*piece) : *piece, nextDeadline());
+        if (!status.ok())
+            return status;
+    }
+    return isChunked ? to.send(lastChunk, nextDeadline()) : absl::OkStatus();
+}
+
 } // namespace almondmoor
--- a/Source/http_body.h
+++ b/Source/http_body.h
@@ -1,4 +1,4 @@
-// Reads message bodies piece by piece in bounded memory.
+// Reads and forwards message bodies piece by piece in bounded memory.
 
 #pragma once
 
@@ -6,6 +6,7 @@
 #include "http_head.h"
 
 #include <absl/status/statusor.h>
+#include <functional>
 #include <string>
 
 namespace almondmoor {
@@ -13,7 +14,9 @@
 // Reads one body from a stream. Trailers are read and discarded.
 class body_reader {
 public:
-    body_reader(byte_stream& stream, body_framing framing);
+    // If a watched stream is given, next() returns Cancelled as soon as its connection is closed by its other side during
+    // a wait.
+    body_reader(byte_stream& stream, body_framing framing, byte_stream* watched = nullptr);
 
     // Returns the next piece, or an empty string at the end of the body. A body that ends early or has an invalid chunk
     // is an error, so a truncated body never appears complete.
@@ -37,6 +40,7 @@
     absl::Status readTrailers(instant deadline);
 
     byte_stream& m_stream;
+    byte_stream* m_watched;
     body_kind m_kind;
     state m_state;
     // Remaining bytes of the body or, if the body is chunked, of the current chunk.
@@ -49,4 +53,16 @@
 
 inline constexpr std::string_view lastChunk = "0\r\n\r\n";
 
+// How long a body may take to be forwarded.
+struct forwarding_limits {
+    // For the whole body.
+    instant deadline;
+    // For each wait for a piece, and for sending it.
+    duration pieceTimeout {};
+};
+
+// Sends the rest of a body to a stream, in chunks if isChunked. Calls a function, which may be empty, with the size of each
+// piece. Returns the error of the read or the write that failed; the receiver can then tell that the body is not complete.
+absl::Status forwardBody(body_reader&, byte_stream& to, bool isChunked, const forwarding_limits&, const std::function<void(std::size_t)>& pieceForwarded = {});
+
 } // namespace almondmoor
--- a/Source/route_handler.cxx
+++ b/Source/route_handler.cxx
@@ -367,15 +367,7 @@
     case exchange_result::ClientDisconnected:
     case exchange_result::ClientBodyFailed:
         recordAttempt(upstream, exchangeResult, exchange, elapsed);
-        m_progress.markLost(attemptNumber);
-        exchange.cancel();
-        m_lastFailure = refusal_reason::BadRequest;
-        m_disposition = connection_disposition::Close;
-        if (exchangeResult == exchange_result::ClientDisconnected) {
-            m_runtime.counters().add(event::ClientsDisconnected);
-            m_isCompleted = true;
-            logRequest(0, "guest-gone");
-        }
+        abandonAttempt(attemptNumber, exchangeResult, exchange);
         return false;
     case exchange_result::Lost:
     case exchange_result::Timeout:
@@ -388,6 +380,19 @@
     return handleLoss(exchangeResult) || willRetry;
 }
 
+void route_handler::abandonAttempt(unsigned attemptNumber, exchange_result exchangeResult, upstream_exchange& exchange)
+{
+    m_progress.markLost(attemptNumber);
+    exchange.cancel();
+    m_lastFailure = refusal_reason::BadRequest;
+    m_disposition = connection_disposition::Close;
+    if (exchangeResult != exchange_result::ClientDisconnected)
+        return;
+    m_runtime.counters().add(event::ClientsDisconnected);
+    m_isCompleted = true;
+    logRequest(0, "guest-gone");
+}
+
 bool route_handler::handleLoss(exchange_result exchangeResult)
 {
     m_lastFailure = exchangeResult == exchange_result::Timeout ? refusal_reason::ResponseTimeout
@@ -411,12 +416,17 @@
         exchange.cancel();
         return !m_outgoing.remainingBody && tryTakeRetry(retry_reason::NotStarted);
     }
-    body_reader body(exchange.stream(), exchange.framing());
+    body_reader body(exchange.stream(), exchange.framing(), &m_client);
     std::string bufferedBody;
     bool isInvalid = isSuccess(status) && !response.has(m_runtime.wire().signature);
-    const instant bodyReadDeadline = std::max(m_deadline, presentInstant()) + lateResponseAllowance;
+    const instant answerDeadline = std::max(m_deadline, presentInstant()) + lateResponseAllowance;
     while (!isInvalid && !body.isAtEnd() && bufferedBody.size() < maxBufferedResponseBytes) {
-        const auto piece = body.next(bodyReadDeadline);
+        const auto piece = body.next(answerDeadline);
+        if (absl::IsCancelled(piece.status())) {
+            recordAttempt(upstream, exchange_result::ClientDisconnected, exchange, presentInstant() - exchange.sentAt());
+            abandonAttempt(attemptNumber, exchange_result::ClientDisconnected, exchange);
+            return false;
+        }
         isInvalid = !piece.ok();
         if (!isInvalid)
             bufferedBody += *piece;
@@ -446,8 +456,12 @@
     }
     m_progress.markResponded(attemptNumber);
     forwardResponse(exchange, bufferedBody, body.isAtEnd());
-    if (!body.isAtEnd() && !forwardRemainingBody(body, exchange.framing().kind != body_kind::Length)) {
+    absl::Status forwarded;
+    if (!body.isAtEnd())
+        forwarded = forwardBody(body, m_client, exchange.framing().kind != body_kind::Length, { answerDeadline, m_runtime.settings().bodyTimeout });
+    if (!forwarded.ok()) {
         exchange.cancel();
+        m_lastDetail = std::string(forwarded.message());
         m_runtime.counters().add(event::ResponsesAborted);
         m_disposition = connection_disposition::Abort;
         logRequest(status, "answer-aborted");
@@ -472,20 +486,6 @@
         m_disposition = connection_disposition::Abort;
 }
 
-bool route_handler::forwardRemainingBody(body_reader& body, bool isChunked)
-{
-    while (!body.isAtEnd()) {
-        const auto piece = body.next(bodyDeadline());
-        if (!piece.ok())
-            return false;
-        if (piece->empty())
-            break;
-        if (!m_client.send(isChunked ? writeChunk(*piece) : *piece, bodyDeadline()).ok())
-            return false;
-    }
-    return !isChunked || m_client.send(lastChunk, bodyDeadline()).ok();
-}
-
 void route_handler::recordAnnouncement(const directory_entry& upstream, upstream_exchange& exchange)
 {
     const parsed_announcement parsed = readAnnouncement(exchange.response(), m_runtime.wire());
@@ -593,7 +593,7 @@
     const instant now = presentInstant();
     logInfo(absl::StrCat("event=request id=", m_id, " route=", m_route ? m_route->name : "", " team=", m_team, " service=", m_service, " plan=", m_config ? m_config->version : 0,
         " status=", status, " reason=", std::string(reason), " total_ms=", wholeMilliseconds(now - m_exchange.receivedAt), " left_ms=", wholeMilliseconds(m_deadline - now), " attempts=", m_attemptSummary,
-        status >= serverErrorStatus && !m_lastDetail.empty() ? absl::StrCat(" detail=\"", m_lastDetail, "\"") : ""));
+        (status >= serverErrorStatus || m_disposition == connection_disposition::Abort) && !m_lastDetail.empty() ? absl::StrCat(" detail=\"", m_lastDetail, "\"") : ""));
 }
 
 } // namespace almondmoor
--- a/Source/route_handler.h
+++ b/Source/route_handler.h
@@ -59,9 +59,10 @@
     void prepareOutgoingRequest();
 
     // Sends the response's head and the buffered part of its body to the client. The body is complete unless it is too
-    // large to buffer; forwardRemainingBody() then sends the rest, and returns false if reading or sending fails.
+    // large to buffer; the rest must then follow until the request's deadline.
     void forwardResponse(upstream_exchange&, const std::string& bufferedBody, bool isComplete);
-    bool forwardRemainingBody(body_reader&, bool isChunked);
+    // Ends an attempt that failed because the client disconnected or sent an invalid body.
+    void abandonAttempt(unsigned attemptNumber, exchange_result, upstream_exchange&);
 
     // Replies with a refusal, returns an unused token to the team and logs the request.
     void refuse(refusal_reason, const std::string& detail, duration retryAfter = defaultRetryAfter);
--- a/Source/upstream_exchange.cxx
+++ b/Source/upstream_exchange.cxx
@@ -57,13 +57,13 @@
     m_isReused = acquired->isReused;
     if (!m_beforeSend())
         return exchange_result::NotStarted;
-    const exchange_result sent = send(request, deadline, bodyTimeout);
+    const exchange_result sent = send(request, client, deadline, bodyTimeout);
     if (sent != exchange_result::ResponseReceived)
         return sent;
     return receiveHead(request.head.getMethod(), client, deadline);
 }
 
-exchange_result upstream_exchange::send(const outgoing_request& request, instant deadline, duration bodyTimeout)
+exchange_result upstream_exchange::send(const outgoing_request& request, byte_stream& client, instant deadline, duration bodyTimeout)
 {
     m_sentAt = presentInstant();
     std::string start = writeHead(request.head);
@@ -75,7 +75,7 @@
     } else {
         start += request.bodyPrefix;
     }
-    const auto status = m_stream->send(start, deadline);
+    const auto status = m_stream->sendUnlessReadable(start, client, deadline);
     // An upstream that responds before it has read the whole request may close its side, and sending fails then. The
     // response is still read.
     if (!status.ok() && m_stream->isIdleAndOpen())
@@ -84,10 +84,10 @@
         m_isBodySent = status.ok();
         return exchange_result::ResponseReceived;
     }
-    return sendRemainingBody(request, deadline, bodyTimeout);
+    return sendRemainingBody(request, client, deadline, bodyTimeout);
 }
 
-exchange_result upstream_exchange::sendRemainingBody(const outgoing_request& request, instant deadline, duration bodyTimeout)
+exchange_result upstream_exchange::sendRemainingBody(const outgoing_request& request, byte_stream& client, instant deadline, duration bodyTimeout)
 {
     const bool isChunked = request.head.getChunkedTransferEncoding();
     while (true) {
@@ -95,7 +95,7 @@
         // gets an early response at once.
         if (!m_stream->isIdleAndOpen())
             return exchange_result::ResponseReceived;
-        const auto piece = request.remainingBody->next(presentInstant() + bodyTimeout);
+        const auto piece = request.remainingBody->next(std::min(deadline, presentInstant() + bodyTimeout));
         if (!piece.ok()) {
             m_detail = std::string(piece.status().message());
             return isDisconnected(piece.status()) ? exchange_result::ClientDisconnected : exchange_result::ClientBodyFailed;
@@ -109,7 +109,9 @@
         std::string bytes = isChunked && !safe.empty() ? writeChunk(safe) : safe;
         if (isEnd && isChunked)
             bytes += lastChunk;
-        const auto status = m_stream->send(bytes, std::max(deadline, presentInstant() + bodyTimeout));
+        const auto status = m_stream->sendUnlessReadable(bytes, client, deadline);
+        if (absl::IsAborted(status))
+            return exchange_result::ResponseReceived;
         if (!status.ok())
             return m_stream->isClosedByPeer() ? exchange_result::Lost : resultFromStatus(status);
         if (isEnd) {
--- a/Source/upstream_exchange.h
+++ b/Source/upstream_exchange.h
@@ -86,8 +86,9 @@
     {
     }
 
-    // Sends the request and waits for the head of the response. Returns ClientDisconnected as soon as the client
-    // closes its connection during the wait. Each piece of the client's body must arrive within bodyTimeout.
+    // Sends the request and waits for the head of the response, both until the deadline. Returns ClientDisconnected as
+    // soon as the client closes its connection during a wait. Each piece of the client's body must arrive within
+    // bodyTimeout.
     exchange_result run(const outgoing_request&, byte_stream& client, instant deadline, duration bodyTimeout);
 
     // Returns whether the last wait for the head of the response timed out, so that continueWaiting() may be called.
@@ -103,6 +104,9 @@
     // Returns whether the connection had carried other exchanges before this one.
     bool isOnReusedConnection() const { return m_isReused; }
 
+    // Returns when the first byte was sent.
+    instant sentAt() const { return m_sentAt; }
+
     // Returns the time from the first byte sent to the head of the response.
     duration latency() const { return m_latency; }
 
@@ -121,8 +125,8 @@
 private:
     // These functions return ResponseReceived if they succeed. After the first two, the head of the response can be
     // read next; after receiveHead(), its body.
-    exchange_result send(const outgoing_request&, instant deadline, duration bodyTimeout);
-    exchange_result sendRemainingBody(const outgoing_request&, instant deadline, duration bodyTimeout);
+    exchange_result send(const outgoing_request&, byte_stream& client, instant deadline, duration bodyTimeout);
+    exchange_result sendRemainingBody(const outgoing_request&, byte_stream& client, instant deadline, duration bodyTimeout);
     exchange_result receiveHead(const std::string& method, byte_stream& client, instant deadline);
     // Reads heads up to the first one that is not an interim response (status 1xx).
     exchange_result receiveFinalHead(const std::string& method, byte_stream& client, instant deadline);
--- a/Tests/StandIns/stand_in_upstream.cxx
+++ b/Tests/StandIns/stand_in_upstream.cxx
@@ -64,6 +64,25 @@
     m_changed.notify_all();
 }
 
+void stand_in_upstream::stopEndless()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isEndlessStopped = true;
+    m_changed.notify_all();
+}
+
+bool stand_in_upstream::isEndlessStopped() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_isEndlessStopped;
+}
+
+void stand_in_upstream::waitUntilEndlessStopped()
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [this] { return m_isEndlessStopped; });
+}
+
 bool stand_in_upstream::waitForReceived(std::size_t count, duration timeout)
 {
     std::unique_lock lock(m_mutex);
@@ -122,6 +141,11 @@
         (void)exchange.stream.send(absl::StrCat("HTTP/1.1 503 Busy\r\n", header, "\r\n", extraHeaders(exchange, behaviour), "Content-Length: 0\r\nConnection: close\r\n\r\n"), presentInstant() + ioTimeout);
         return connection_disposition::Close;
     }
+    if (behaviour.respondsBeforeBody) {
+        (void)sendResponse(exchange, behaviour);
+        waitUntilEndlessStopped();
+        return connection_disposition::Abort;
+    }
     body_reader body(exchange.stream, exchange.framing);
     std::string received;
     while (!body.isAtEnd()) {
@@ -155,7 +179,11 @@
 {
     const auto sendPiece = [&](const std::string& piece) { return exchange.stream.send(piece, presentInstant() + ioTimeout).ok(); };
     bool isOpen = sendPiece(behaviour.endlessStart);
-    while (isOpen && !m_isEndlessStopped) {
+    if (behaviour.endlessPiece.empty()) {
+        waitUntilEndlessStopped();
+        return;
+    }
+    while (isOpen && !isEndlessStopped()) {
         isOpen = sendPiece(behaviour.endlessPiece);
         m_endlessBytes += behaviour.endlessPiece.size();
     }
--- a/Tests/StandIns/stand_in_upstream.h
+++ b/Tests/StandIns/stand_in_upstream.h
@@ -32,6 +32,8 @@
     // Retry-After.
     bool refusesToStart = false;
     bool shedsLoad = false;
+    // Responds before it has read the request's body, then reads nothing and keeps the connection open.
+    bool respondsBeforeBody = false;
     // If not empty, sent instead of a response before the connection is closed.
     std::string rawResponse;
     // Resets the connection after the raw response instead of closing it.
@@ -43,7 +45,7 @@
     // Sent on the connection immediately before the response.
     std::string bytesBeforeResponse;
     // If the query of the request says endless=yes, the first text is sent instead of a response, and then the second
-    // one over and over until the caller closes the connection.
+    // one over and over until the caller closes the connection. Without a second text nothing more is sent.
     std::string endlessStart;
     std::string endlessPiece;
     // Header line of responses that refuse to start a request.
@@ -75,8 +77,8 @@
     // While the upstream is held, it receives requests but runs none; they wait.
     void hold(bool isHeld);
 
-    // Ends all responses that have no end.
-    void stopEndless() { m_isEndlessStopped = true; }
+    // Ends all responses that have no end, and the connections of requests whose body is not read.
+    void stopEndless();
 
     // Returns how many bytes of responses without an end were sent.
     std::uint64_t endlessBytes() const { return m_endlessBytes; }
@@ -92,6 +94,8 @@
     connection_disposition serve(http_exchange&);
     connection_disposition sendResponse(http_exchange&, const upstream_behaviour&);
     void sendWithoutEnd(http_exchange&, const upstream_behaviour&);
+    bool isEndlessStopped() const;
+    void waitUntilEndlessStopped();
     upstream_behaviour behaviourFor(const std::string& target) const;
 
     mutable std::mutex m_mutex;
@@ -99,7 +103,7 @@
     upstream_behaviour m_behaviour;
     bool m_isHeld = false;
     std::size_t m_received = 0;
-    std::atomic<bool> m_isEndlessStopped { false };
+    bool m_isEndlessStopped = false;
     std::atomic<std::uint64_t> m_endlessBytes { 0 };
     std::vector<run_record> m_runs;
     std::unique_ptr<http_listener> m_listener;
