Proxy: No request is passed on that the end of a planned stop would cut

Reported by other operators: requests that came late in the grace period were passed on and cut without an answer. Tried with a stand-in; it happened in two ways.

Cause: (1) requests were admitted for 2.9 s whatever the grace period; with less than 3.3 s the process also outlived it. (2) In the last phase, where new requests are refused, a request that its upstream had not started still went to another upstream, up to the exit.

In the last phase no further attempt begins, and the client gets what is true of the first.

Ruled out: new requests in the last phase (refused before they are sent).

--- a/Source/proxy_command.cxx
+++ b/Source/proxy_command.cxx
@@ -3,6 +3,7 @@
 #include "Core/error.h"
 #include "logging.h"
 #include "route_handler.h"
+#include "stop_schedule.h"
 
 #include <Poco/Exception.h>
 #include <absl/strings/str_cat.h>
@@ -22,11 +23,6 @@
     // Long enough that an idle host seldom wakes up.
     constexpr duration pollInterval = std::chrono::milliseconds(500);
     constexpr duration replyTimeout = std::chrono::seconds(1);
-    // Time from the signal for which new requests are admitted. Requests that arrive
-    // later might not end within the grace period.
-    constexpr duration admissionPeriod = std::chrono::milliseconds(2900);
-    // Time at the end of the grace period that is reserved for the exit of the process.
-    constexpr duration exitReserve = std::chrono::milliseconds(400);
     constexpr duration stopPollInterval = std::chrono::milliseconds(50);
 
     // Serves the readiness check, the liveness check and the metrics.
@@ -76,14 +72,15 @@
     void drainClients(proxy_runtime& runtime, http_listener& clientListener)
     {
         const instant stopBeganAt = presentInstant();
+        const stop_schedule schedule = makeStopSchedule(runtime.settings().stopNotice, runtime.settings().stopGrace);
         const auto never = [] { return false; };
         runtime.setPhase(stop_phase::Notice);
-        waitUntil(stopBeganAt + runtime.settings().stopNotice, never);
+        waitUntil(stopBeganAt + schedule.closeAt, never);
         runtime.setPhase(stop_phase::Closing);
         clientListener.beginClosing();
-        waitUntil(stopBeganAt + admissionPeriod, never);
+        waitUntil(stopBeganAt + schedule.refuseAt, never);
         runtime.setPhase(stop_phase::Ending);
-        waitUntil(stopBeganAt + runtime.settings().stopGrace - exitReserve, [&clientListener] { return clientListener.runningCount() == 0 && clientListener.connectionCount() == 0; });
+        waitUntil(stopBeganAt + schedule.exitAt, [&clientListener] { return clientListener.runningCount() == 0 && clientListener.connectionCount() == 0; });
         clientListener.stopAccepting();
         if (clientListener.runningCount() > 0) {
             runtime.counters().add(event::StopsForced);
--- a/Source/route_handler.cxx
+++ b/Source/route_handler.cxx
@@ -253,7 +253,8 @@
     prepareOutgoingRequest();
     m_runtime.withCore([&](dispatch_core& core) { core.recordFirstAttempt(m_service); });
     bool shouldContinue = true;
-    while (shouldContinue && !m_isCompleted) {
+    // An attempt that begins while this host is about to stop might not end before the exit.
+    while (shouldContinue && !m_isCompleted && (m_triedUpstreams.empty() || m_runtime.phase() != stop_phase::Ending)) {
         const instant now = presentInstant();
         std::optional<directory_entry> chosen;
         const choice_result result = m_runtime.withCore([&](dispatch_core& core) {
--- a/Tests/Processes/proxy_process_test.cxx
+++ b/Tests/Processes/proxy_process_test.cxx
@@ -178,6 +178,36 @@
     CHECK(fleet.waitFor(0) == 0);
 }
 
+// Guards against requests that are taken late in the grace period, passed on, and cut off without an answer by the exit.
+TEST_CASE("each request that is passed on during a planned stop is answered", "[process]")
+{
+    constexpr auto interval = 50ms;
+    // The admitted requests have at least a quarter of the grace period to end.
+    constexpr const char* path = "/unsafe/1?delay-ms=700";
+    for (const int graceSeconds : { 3, 6 }) {
+        INFO(graceSeconds << " s of grace");
+        proxy_processes fleet(1);
+        fleet.start(0, { absl::StrCat("--stop_grace_s=", graceSeconds) });
+        REQUIRE(fleet.waitUntilReady(0));
+        std::atomic<std::size_t> okResponses { 0 };
+        std::vector<std::thread> clients;
+        fleet.signal(0, SIGTERM);
+        const instant end = presentInstant() + std::chrono::seconds(graceSeconds);
+        while (presentInstant() < end) {
+            clients.emplace_back([&] { okResponses += fleet.sendRequest(0, path, "POST") == 200 ? 1 : 0; });
+            std::this_thread::sleep_for(interval);
+        }
+        // As the platform does at the end of the grace period.
+        fleet.signal(0, SIGKILL);
+        for (std::thread& client : clients)
+            client.join();
+        CHECK(fleet.waitFor(0) == 0);
+        const auto runs = [&fleet] { return fleet.upstream(0).runs().size() + fleet.upstream(1).runs().size(); };
+        CHECK(okResponses > 0);
+        CHECK(okResponses == runs());
+    }
+}
+
 TEST_CASE("a blocked reader of the log delays no request, and no log line contains a key", "[process]")
 {
     proxy_processes fleet(1);
--- a/Tests/Proxy/route_test.cxx
+++ b/Tests/Proxy/route_test.cxx
@@ -285,4 +285,24 @@
     CHECK(host.receivedCount() == 2);
 }
 
+// Guards against a request that is passed on so late in a planned stop that the exit cuts it off.
+TEST_CASE("a host that is about to stop makes no further attempt at a request that was not started", "[proxy]")
+{
+    proxy_fixture host(2);
+    upstream_behaviour notStarted;
+    notStarted.refusesToStart = true;
+    host.setBehaviour(notStarted);
+    host.upstream(0).hold(true);
+    host.upstream(1).hold(true);
+    auto response = std::async(std::launch::async, [&host] { return host.post("/unsafe/1", "body"); });
+    const instant deadline = presentInstant() + receiveTimeout;
+    while (host.receivedCount() == 0 && presentInstant() < deadline)
+        std::this_thread::yield();
+    host.runtime().setPhase(stop_phase::Ending);
+    host.upstream(0).hold(false);
+    host.upstream(1).hold(false);
+    CHECK(statusOf(response.get()) == 503);
+    CHECK(host.receivedCount() == 1);
+}
+
 } // namespace almondmoor
