--- a/Tests/Core/reader_choice_test.cxx
+++ b/Tests/Core/reader_choice_test.cxx
@@ -41,6 +41,7 @@
         void setReachesStore(unsigned host, bool reachesStore) { m_hosts[host].reachesStore = reachesStore; }
         // A dead host sends no reports and makes no calls.
         void setAlive(unsigned host, bool isAlive) { m_hosts[host].isAlive = isAlive; }
+        void setFirstReadAt(unsigned host, instant at) { m_hosts[host].choice.setFirstReadAt(at); }
         void setCandidate(unsigned host, bool isCandidate) { m_hosts[host].choice.setCandidate(isCandidate); }
         // Reports of an unreachable host don't arrive at its neighbours.
         void setReachable(unsigned host, bool isReachable) { m_hosts[host].isReachable = isReachable; }
@@ -126,6 +127,36 @@
     }
 }
 
+// Guards against calls to the store by each host that happens to finish its first reads before the one that ranks first.
+TEST_CASE("pattern: hosts that start together, but not at one instant, choose one reader", "[reader]")
+{
+    constexpr unsigned hosts = 8;
+    constexpr duration initialWait = 600ms;
+    for (unsigned late = 0; late < hosts; ++late) {
+        for (const duration delay : { 60ms, 300ms, 480ms }) {
+            INFO("host " << late << " is late");
+            reading_fleet fleet(hosts);
+            for (unsigned host = 0; host < hosts; ++host)
+                fleet.setFirstReadAt(host, begin + initialWait + (host == late ? delay : 0ms));
+            fleet.run(3s);
+            CHECK(fleet.readerCount() == 1);
+        }
+    }
+}
+
+// Guards against hosts that wait at their start for a neighbour that never reads.
+TEST_CASE("another host reads soon if the one that ranks first cannot at its start", "[reader]")
+{
+    for (unsigned failing = 0; failing < 8; ++failing) {
+        reading_fleet fleet(8);
+        for (unsigned host = 0; host < 8; ++host)
+            fleet.setFirstReadAt(host, begin + 600ms);
+        fleet.setReachesStore(failing, false);
+        fleet.run(5s);
+        CHECK(fleet.maxConfirmationAge() < 2s);
+    }
+}
+
 TEST_CASE("a lost reader is replaced before its confirmation is too old", "[reader]")
 {
     struct row {
--- a/Tests/Proxy/endless_bytes_test.cxx
+++ b/Tests/Proxy/endless_bytes_test.cxx
@@ -20,6 +20,10 @@
     constexpr int otherRequests = 10;
     // Much shorter than the timeout of the test's routes.
     constexpr duration maxOtherLatency = 500ms;
+    // The timeout of the test's routes, and how much later a response without end must have ended.
+    constexpr duration routeTimeout = 1500ms;
+    constexpr duration endAllowance = 500ms;
+    constexpr std::size_t maxMemoryGrowthKiB = std::size_t { 32 } * 1024;
 
     // Returns chunks of one size, about pieceBytes in all.
     std::string chunksOf(std::size_t chunkBytes, const std::string& extension = "")
@@ -162,15 +166,21 @@
         { "a request head", "", "", "GET /open HTTP/1.1\r\nHost: a.example\r\n", "X-More: 1\r\n" },
     };
 
-    // Plays a case and returns how many requests of other clients are served in time meanwhile.
     template <typename Host>
-    int playCase(Host& host, unsigned upstreams, const endless_case& it, const std::string& path)
+    void setEndless(Host& host, unsigned upstreams, const endless_case& it)
     {
         upstream_behaviour behaviour;
         behaviour.endlessStart = it.upstreamStart;
         behaviour.endlessPiece = it.upstreamPiece;
         for (unsigned index = 0; index < upstreams; ++index)
             host.upstream(index).setBehaviour(proxy_fixture::withProtocolHeaders(behaviour));
+    }
+
+    // Plays a case and returns how many requests of other clients are served in time meanwhile.
+    template <typename Host>
+    int playCase(Host& host, unsigned upstreams, const endless_case& it, const std::string& path)
+    {
+        setEndless(host, upstreams, it);
         REQUIRE(statusOf(host.get(path)) == 200);
         endless_client endless(host.clientAddress(), it);
         const auto transferredBytes = [&] {
@@ -214,4 +224,28 @@
     }
 }
 
+// Guards against a host that keeps all bytes that an upstream sends and runs out of memory, and against a response that
+// keeps its request open for as long as the upstream sends.
+TEST_CASE("bytes without end from an upstream are not kept in memory and end at the route's timeout", "[endless]")
+{
+    for (const endless_case& it : proxyCases) {
+        if (!it.clientPiece.empty())
+            continue;
+        DYNAMIC_SECTION(it.name)
+        {
+            proxy_fixture host(1);
+            setEndless(host, 1, it);
+            REQUIRE(statusOf(host.get("/safe/1")) == 200);
+            const std::size_t memoryBefore = residentKiB();
+            endless_client endless(host.clientAddress(), it);
+            REQUIRE(host.upstream().waitForReceived(2, streamTimeout));
+            const instant deadline = presentInstant() + routeTimeout + endAllowance;
+            while (host.listener().runningCount() > 0 && presentInstant() < deadline)
+                std::this_thread::yield();
+            CHECK(host.listener().runningCount() == 0);
+            CHECK(residentKiB() < memoryBefore + maxMemoryGrowthKiB);
+        }
+    }
+}
+
 } // namespace almondmoor
--- a/Tests/Serve/host_fixture.cxx
+++ b/Tests/Serve/host_fixture.cxx
@@ -1,6 +1,7 @@
 #include "Serve/host_fixture.h"
 
 #include <absl/strings/str_cat.h>
+#include <fstream>
 #include <unistd.h>
 
 namespace almondmoor {
@@ -174,6 +175,17 @@
     return count;
 }
 
+std::size_t residentKiB()
+{
+    std::ifstream status("/proc/self/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.rfind("VmRSS:", 0) == 0)
+            return std::stoul(line.substr(6));
+    }
+    return 0;
+}
+
 std::string headerOf(const std::string& response, const std::string& name)
 {
     const std::string start = absl::StrCat("\r\n", name, ": ");
--- a/Tests/Serve/host_fixture.h
+++ b/Tests/Serve/host_fixture.h
@@ -77,6 +77,9 @@
     std::string m_secret;
 };
 
+// Returns the resident memory of the test's process.
+std::size_t residentKiB();
+
 // Returns the value of a header of a response, or an empty string.
 std::string headerOf(const std::string& response, const std::string& name);
 
--- a/Tests/Serve/wire_test.cxx
+++ b/Tests/Serve/wire_test.cxx
@@ -3,7 +3,6 @@
 #include "Serve/host_fixture.h"
 
 #include <absl/strings/str_cat.h>
-#include <fstream>
 
 namespace almondmoor {
 
@@ -44,17 +43,6 @@
         { "operator path", "POST /command HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nshow teams", 404 },
     };
 
-    std::size_t residentKiB()
-    {
-        std::ifstream status("/proc/self/status");
-        std::string line;
-        while (std::getline(status, line)) {
-            if (line.rfind("VmRSS:", 0) == 0)
-                return std::stoul(line.substr(6));
-        }
-        return 0;
-    }
-
 } // namespace
 
 TEST_CASE("an ambiguous or oversized request is refused and the connection closed", "[wire]")
