Feeds: At the start a host waits for a neighbour that ranks first but is late

Cause of one way by which 'hosts that start together read each table once' failed beside load: each host may read 0.6 s after its own first reads, plus 50 ms for each neighbour that ranks before it. If the first one finished its reads over 50 ms later than another (hosts of a fleet start up to 0.3 s apart), the other read first: 3 calls. Change: before any confirmation a host that knows of a neighbour ranking before it waits 0.5 s longer. Tests in Core, without network: 'hosts that start together, but not at one instant, choose one reader' failed for the host that ranks first (3 of 24 rows, 2 readers), and passes; 'another host reads soon if the one that ranks first cannot at its start' passes with both.

--- a/Source/Core/reader_choice.cxx
+++ b/Source/Core/reader_choice.cxx
@@ -69,9 +69,12 @@
 instant reader_choice::nextReadAt(instant now) const
 {
     const instant until = suppressedUntil();
-    if (until == distantPast)
-        return m_firstReadAt == distantPast ? distantPast : m_firstReadAt + takeoverDelay(now);
-    return until + takeoverDelay(now);
+    const duration delay = takeoverDelay(now);
+    if (until != distantPast)
+        return until + delay;
+    if (m_firstReadAt == distantPast)
+        return distantPast;
+    return delay > duration::zero() ? m_firstReadAt + m_settings.startSpread + delay : m_firstReadAt;
 }
 
 std::optional<reader_choice::reading_neighbour> reader_choice::latestReader(instant now) const
