--- a/Source/byte_stream.cxx
+++ b/Source/byte_stream.cxx
@@ -142,7 +142,7 @@
             return absl::OkStatus();
         if (presentInstant() >= deadline)
             return deadlinePassed();
-        const auto status = waitReadable(watched, deadline);
+        auto status = waitReadable(watched, deadline);
         if (!status.ok())
             return status;
     }
--- a/Source/http_body.cxx
+++ b/Source/http_body.cxx
@@ -163,7 +163,7 @@
             break;
         if (pieceForwarded)
             pieceForwarded(piece->size());
-        const auto status = to.send(isChunked ? writeChunk(*piece) : *piece, nextDeadline());
+        auto status = to.send(isChunked ? writeChunk(*piece) : *piece, nextDeadline());
         if (!status.ok())
             return status;
     }
