--- a/Source/byte_stream.cxx
+++ b/Source/byte_stream.cxx
@@ -160,21 +160,19 @@
     return true;
 }
 
-absl::Status byte_stream::send(std::string_view bytes, instant deadline)
+absl::Status byte_stream::waitWritable(byte_stream* watched, instant deadline)
 {
-    if (yieldPast(deadline))
+    if (!watched)
+        return waitForEvents(m_socket.impl()->sockfd(), POLLOUT, deadline) ? absl::OkStatus() : deadlinePassed();
+    std::array<pollfd, 2> entries { { { m_socket.impl()->sockfd(), POLLOUT | POLLIN, 0 }, { watched->m_socket.impl()->sockfd(), POLLRDHUP, 0 } } };
+    if (pollUntil(entries, deadline) == 0)
         return deadlinePassed();
-    while (true) {
-        if (!sendAvailable(bytes))
-            return connectionEnded();
-        if (bytes.empty())
-            return absl::OkStatus();
-        if (presentInstant() >= deadline || !waitForEvents(m_socket.impl()->sockfd(), POLLOUT, deadline))
-            return deadlinePassed();
-    }
+    if (entries[0].revents & POLLIN)
+        return absl::AbortedError("the other side sends before it has read everything");
+    return entries[1].revents ? clientDisconnected() : absl::OkStatus();
 }
 
-absl::Status byte_stream::sendUnlessReadable(std::string_view bytes, byte_stream& watched, instant deadline)
+absl::Status byte_stream::sendAll(std::string_view bytes, byte_stream* watched, instant deadline)
 {
     if (yieldPast(deadline))
         return deadlinePassed();
@@ -183,16 +181,24 @@
             return connectionEnded();
         if (bytes.empty())
             return absl::OkStatus();
-        std::array<pollfd, 2> entries { { { m_socket.impl()->sockfd(), POLLOUT | POLLIN, 0 }, { watched.m_socket.impl()->sockfd(), POLLRDHUP, 0 } } };
-        if (presentInstant() >= deadline || pollUntil(entries, deadline) == 0)
+        if (presentInstant() >= deadline)
             return deadlinePassed();
-        if (entries[0].revents & POLLIN)
-            return absl::AbortedError("the other side sends before it has read everything");
-        if (entries[1].revents)
-            return clientDisconnected();
+        auto status = waitWritable(watched, deadline);
+        if (!status.ok())
+            return status;
     }
 }
 
+absl::Status byte_stream::send(std::string_view bytes, instant deadline)
+{
+    return sendAll(bytes, nullptr, deadline);
+}
+
+absl::Status byte_stream::sendUnlessReadable(std::string_view bytes, byte_stream& watched, instant deadline)
+{
+    return sendAll(bytes, &watched, deadline);
+}
+
 bool byte_stream::isIdleAndOpen()
 {
     char byte = 0;
--- a/Source/byte_stream.h
+++ b/Source/byte_stream.h
@@ -72,6 +72,10 @@
     // Sends what fits into the socket without waiting and removes it from the bytes. Returns false if the connection has
     // failed.
     bool sendAvailable(std::string_view& bytes);
+    // Sends all bytes. With another stream, behaves as sendUnlessReadable() says.
+    absl::Status sendAll(std::string_view bytes, byte_stream* watched, instant deadline);
+    // Waits until this stream is writable. With another stream, behaves as sendUnlessReadable() says.
+    absl::Status waitWritable(byte_stream* watched, instant deadline);
     // Waits until this stream is readable. With another stream, behaves as receive() says.
     absl::Status waitReadable(byte_stream* watched, instant deadline);
 
