Proxy: The last change of an upstream in an update counts

Cause: an update was applied as all its written rows first and then all its removed ones. If it held removal and return of one upstream, the removal won: 2 s later after an outage, at once otherwise. The entry came back only with its next change.

Ruled out: belief and turns (nothing to choose from), missing rows (44 of 44 hosts held the latest version of all 40).

Change: removals go first, all of them, since their number tells an outage, then the rows whose last change is not a removal.

--- a/Source/proxy_runtime.cxx
+++ b/Source/proxy_runtime.cxx
@@ -6,7 +6,9 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
+#include <map>
 #include <random>
+#include <string_view>
 
 namespace almondmoor {
 
@@ -71,28 +73,28 @@
     const std::lock_guard lock(m_registryMutex);
     if (update.isFirstAfterOutage)
         m_registry.recordStoreRecovery(now);
-    std::vector<std::string> present;
+    // An update may hold several changes of one row, e.g. its removal and its return. The removals go first, all of them,
+    // since their number tells an outage, and then the rows whose last change is not a removal.
+    std::map<std::string_view, const stored_row*> lastChanges;
     std::vector<std::string> removed;
     for (const stored_row& row : update.rows) {
-        if (row.isRemoved) {
-            removed.push_back(row.key);
-            logInfo(absl::StrCat("event=upstream-removed upstream=", row.key, " version=", row.version));
-            continue;
-        }
-        present.push_back(row.key);
-        const auto record = decode(row, now);
-        if (!record.ok()) {
-            m_metrics.add(event::UpstreamRowsRejected);
-            logWarning(absl::StrCat("event=upstream-row-refused upstream=", row.key, " version=", row.version, " error=\"", errorMessage(record.status()), "\""));
-            removed.push_back(row.key);
+        lastChanges[row.key] = &row;
+        if (!row.isRemoved)
             continue;
-        }
-        const directory_entry& entry = record->entry;
-        // A whole table is logged as one event, single changes one by one.
-        if (m_registry.apply(*record) && !update.isFullTable)
-            logInfo(absl::StrCat("event=upstream upstream=", row.key, " version=", row.version, " service=", entry.service, " address=", entry.address, " data_centre=", entry.dataCentre, " leaving=", entry.isLeaving ? "yes" : "no"));
+        removed.push_back(row.key);
+        logInfo(absl::StrCat("event=upstream-removed upstream=", row.key, " version=", row.version));
     }
     m_registry.removeAll(removed, now);
+    std::vector<std::string> present;
+    std::vector<std::string> rejected;
+    for (const stored_row& row : update.rows) {
+        if (row.isRemoved || lastChanges[row.key] != &row)
+            continue;
+        present.push_back(row.key);
+        if (!applyUpstream(row, decode(row, now), !update.isFullTable))
+            rejected.push_back(row.key);
+    }
+    m_registry.removeAll(rejected, now);
     if (update.isFullTable) {
         m_registry.keepOnly(present, now);
         logInfo(absl::StrCat("event=upstreams count=", m_registry.directory().size(), " version=", update.version));
@@ -100,6 +102,19 @@
     publishDirectory(now);
 }
 
+bool proxy_runtime::applyUpstream(const stored_row& row, const absl::StatusOr<upstream_record>& record, bool isLogged)
+{
+    if (!record.ok()) {
+        m_metrics.add(event::UpstreamRowsRejected);
+        logWarning(absl::StrCat("event=upstream-row-refused upstream=", row.key, " version=", row.version, " error=\"", errorMessage(record.status()), "\""));
+        return false;
+    }
+    const directory_entry& entry = record->entry;
+    if (m_registry.apply(*record) && isLogged)
+        logInfo(absl::StrCat("event=upstream upstream=", row.key, " version=", row.version, " service=", entry.service, " address=", entry.address, " data_centre=", entry.dataCentre, " leaving=", entry.isLeaving ? "yes" : "no"));
+    return true;
+}
+
 void proxy_runtime::publishDirectory(instant now)
 {
     withCore([&](dispatch_core& it) { it.applyDirectory(m_registry.directory(), now); });
--- a/Source/proxy_runtime.h
+++ b/Source/proxy_runtime.h
@@ -105,6 +105,9 @@
     std::uint64_t seed() const { return m_seed; }
 
 private:
+    // Takes over a row of the upstreams' table. Returns false if it could not be decoded. A whole table is logged as one
+    // event, single changes one by one. The caller holds m_registryMutex.
+    bool applyUpstream(const stored_row&, const absl::StatusOr<upstream_record>&, bool isLogged);
     // Publishes the directory of the registry. The caller holds m_registryMutex.
     void publishDirectory(instant now);
     void recordIdleUpstream(const idle_upstream&);
