Proxy: A client that leaves is noticed also in the middle of a response's head

What callers saw: nothing, since they had left; the upstream went on with their request until its deadline.

Cause: once a part of the head had arrived, the wait for the rest watched the upstream alone. The test met this only if the part arrived before the client left; it now waits 100 ms for that, which is stricter.

--- a/Source/upstream_exchange.cxx
+++ b/Source/upstream_exchange.cxx
@@ -130,7 +130,7 @@
                 return resultFromStatus(absl::InvalidArgumentError("the answer's head is too large"));
             auto status = m_stream->waitReadableOrClosed(client, deadline);
             if (!m_stream->buffered().empty() || status.ok())
-                status = m_stream->receive(deadline);
+                status = m_stream->receive(deadline, &client);
             if (!status.ok())
                 return resultFromStatus(status);
             continue;
--- a/Tests/Proxy/stalled_body_test.cxx
+++ b/Tests/Proxy/stalled_body_test.cxx
@@ -54,6 +54,14 @@
         return listener.runningCount() > 0;
     }
 
+    // Waits until the host has got all that the upstream sends, so that it waits for more.
+    void waitForStall()
+    {
+        const instant until = presentInstant() + 100ms;
+        while (presentInstant() < until)
+            std::this_thread::yield();
+    }
+
 } // namespace
 
 // Guards against an upload whose answer waits for an upstream that takes no more of it.
@@ -149,6 +157,7 @@
             client.send(it.isUpload ? uploadHead("/unsafe/1") + std::string(std::size_t { 1 } << 20, 'z') : requestHead("GET", "/unsafe/1?endless=yes"));
             REQUIRE(begins(host.listener()));
             REQUIRE(host.upstream().waitForReceived(1, 5s));
+            waitForStall();
         }
         CHECK(endsWithin(host.listener(), leavingAllowance));
     }
@@ -162,6 +171,7 @@
         raw_client client(host.clientAddress());
         client.send(host.requestText("GET", "/refills?endless=yes", "", ""));
         REQUIRE(host.upstream().waitForReceived(1, 5s));
+        waitForStall();
     }
     CHECK(endsWithin(host.clientListener(), leavingAllowance));
 }
