Proxy: Reads of the store, relayed tables and the age of the last confirmation are logged and measured

A reader's calls that end a wait without a change are not logged, so the lines grow with changes and outages.

--- a/Source/fleet_feeds.h
+++ b/Source/fleet_feeds.h
@@ -69,9 +69,10 @@
     {
         m_link.setReadingHandlers(
             { [this](const std::string& host, const auto& confirmation) { recordNeighbourReport(host, confirmation); },
-                [this](const table_reading& it) { (void)followerOf(it.table).applyNeighbourUpdate(it.update); },
+                [this](const table_reading& it) { applyReading(it); },
                 [this] { return ownConfirmation(); },
-                [this](followed_table table) { return followerOf(table).fullTable(); } });
+                [this](followed_table table) { return followerOf(table).fullTable(); },
+                [this](instant now) { updateConfirmationAge(now); } });
         m_thread = std::thread([this] { run(); });
     }
 
@@ -147,10 +148,10 @@
     // parallel, because clients wait for both.
     void readAllTables()
     {
-        std::thread configThread([this] { (void)m_configFollower->step(duration::zero()); });
-        (void)m_upstreamFollower->step(duration::zero());
+        std::thread configThread([this] { (void)readFromStore(followed_table::ServingConfig, duration::zero()); });
+        (void)readFromStore(followed_table::Upstreams, duration::zero());
         configThread.join();
-        (void)m_membershipFollower->step(duration::zero());
+        (void)readFromStore(followed_table::Membership, duration::zero());
         if (m_mustWriteOwnEntry)
             writeOwnEntry();
         // Hosts that join at the same time may miss each other's entries. The reader finds
@@ -158,6 +159,44 @@
         withReaderChoice([](reader_choice& it) { it.setFirstReadAt(presentInstant() + initialWait); });
     }
 
+    // Reads what is new in a table. Logs reads that brought changes, that failed or that this host made while it had no
+    // fresh confirmation of its own; a reader's other reads are too many to log.
+    follower_step readFromStore(followed_table table, duration maxWait)
+    {
+        const instant startedAt = presentInstant();
+        const bool isConfirmed = ownConfirmation().has_value();
+        const follower_step step = followerOf(table).step(maxWait);
+        if (step.hasUpdates || !step.succeeded || !isConfirmed) {
+            logInfo(absl::StrCat("event=store-read table=", std::string(nameIn(followedTableNames, table)), " end=", step.succeeded ? "done" : "failed",
+                " changes=", step.hasUpdates ? "yes" : "no", " version=", followerOf(table).version(), " wait_ms=", wholeMilliseconds(maxWait), " took_ms=", wholeMilliseconds(presentInstant() - startedAt)));
+        }
+        return step;
+    }
+
+    void applyReading(const table_reading& reading)
+    {
+        if (!followerOf(reading.table).applyNeighbourUpdate(reading.update))
+            return;
+        logInfo(absl::StrCat("event=table-relayed table=", std::string(nameIn(followedTableNames, reading.table)), " full=", reading.update.isFullTable ? "yes" : "no",
+            " after=", reading.update.after, " version=", reading.update.version));
+    }
+
+    // Updates the gauge and logs when this host begins and ceases to rely on tables that no reader confirms.
+    void updateConfirmationAge(instant now)
+    {
+        const auto neighbour = withReaderChoice([now](reader_choice& it) { return it.latestReader(now); });
+        const auto own = ownConfirmation();
+        if (own || neighbour)
+            m_lastConfirmedAt = std::max({ m_lastConfirmedAt, own ? own->respondedAt : distantPast, neighbour ? neighbour->confirmation.respondedAt : distantPast });
+        const auto ageMs = m_lastConfirmedAt == distantPast ? 0 : wholeMilliseconds(now - m_lastConfirmedAt);
+        m_runtime.counters().set(gauge::StoreConfirmationAgeMs, static_cast<std::uint64_t>(ageMs));
+        const bool isConfirmed = own || neighbour;
+        if (isConfirmed == m_isConfirmed || m_lastConfirmedAt == distantPast)
+            return;
+        m_isConfirmed = isConfirmed;
+        logInfo(absl::StrCat("event=store-confirmation state=", isConfirmed ? "fresh" : "expired", " age_ms=", ageMs));
+    }
+
     // Waits for the given time or until a neighbour reports an update. Returns false when
     // the feeds must stop.
     bool waitForUpdates(duration wait)
@@ -209,7 +248,7 @@
     {
         // While changes of the other tables may be missing, the store must not delay its response.
         const duration wait = m_areOtherTablesBehind ? duration::zero() : confirmationInterval - m_readDelay;
-        const follower_step step = m_upstreamFollower->step(wait);
+        const follower_step step = readFromStore(followed_table::Upstreams, wait);
         m_readDelay = step.delay;
         m_ledger.recordVersions(step.versions);
         if (!step.succeeded) {
@@ -230,10 +269,10 @@
     bool readOtherTables()
     {
         const std::uint64_t version = m_upstreamFollower->version();
-        for (follower* it : { m_membershipFollower.get(), m_configFollower.get() }) {
-            if (m_ledger.isCompleteUpTo(version) || it->version() >= version)
+        for (const followed_table table : { followed_table::Membership, followed_table::ServingConfig }) {
+            if (m_ledger.isCompleteUpTo(version) || followerOf(table).version() >= version)
                 continue;
-            const follower_step step = it->step(duration::zero());
+            const follower_step step = readFromStore(table, duration::zero());
             if (!step.succeeded)
                 return false;
             m_ledger.recordVersions(step.versions);
@@ -280,7 +319,7 @@
         m_catchUp = {};
         duration delay {};
         for (const followed_table table : behind)
-            delay = std::max(delay, followerOf(table).step(duration::zero()).delay);
+            delay = std::max(delay, readFromStore(table, duration::zero()).delay);
         return delay;
     }
 
@@ -408,6 +447,9 @@
     instant m_retryAt = distantPast;
     bool m_areOtherTablesBehind = true;
     catch_up m_catchUp;
+    // Only the link's thread uses these two.
+    instant m_lastConfirmedAt = distantPast;
+    bool m_isConfirmed = false;
     std::mutex m_mutex;
     std::condition_variable m_wake;
     instant m_confirmedAt = distantPast;
--- a/Source/metrics.h
+++ b/Source/metrics.h
@@ -105,14 +105,17 @@
     MemoryHeldBytes,
     MemoryLimitBytes,
     DataCentresEvacuated,
-    UpstreamsEvacuated
+    UpstreamsEvacuated,
+    // How long ago the store last confirmed, to this host or to a neighbour, that the tables known here are complete.
+    StoreConfirmationAgeMs
 };
 
-inline constexpr name_table<gauge, 4> gaugeNames { {
+inline constexpr name_table<gauge, 5> gaugeNames { {
     { gauge::MemoryHeldBytes, "memory_held_bytes" },
     { gauge::MemoryLimitBytes, "memory_limit_bytes" },
     { gauge::DataCentresEvacuated, "data_centres_evacuated" },
     { gauge::UpstreamsEvacuated, "upstreams_evacuated" },
+    { gauge::StoreConfirmationAgeMs, "store_confirmation_age_ms" },
 } };
 
 // Requests of one team.
--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -82,7 +82,7 @@
         requestTokens(now);
         if (now - tickedAt >= tickInterval) {
             tickedAt = now;
-            m_runtime.tick();
+            tick(now);
         }
         const bool isDue = [&] {
             const std::lock_guard lock(m_pacingMutex);
@@ -93,6 +93,17 @@
     }
 }
 
+void neighbour_link::tick(instant now)
+{
+    m_runtime.tick();
+    const auto tickHandler = [this] {
+        const std::lock_guard lock(m_mutex);
+        return m_readingHandlers.tick;
+    }();
+    if (tickHandler)
+        tickHandler(now);
+}
+
 void neighbour_link::receive()
 {
     m_receiveBuffer.resize(maxDatagramBytes);
--- a/Source/neighbour_link.h
+++ b/Source/neighbour_link.h
@@ -40,6 +40,8 @@
     std::function<std::optional<store_confirmation>()> confirmation;
     // Returns a whole table for a neighbour that asked for it, or nullopt if it is not known.
     std::function<std::optional<table_update>(followed_table)> fullTable;
+    // Called at each tick of the link's thread.
+    std::function<void(instant now)> tick;
 };
 
 class neighbour_link {
@@ -83,6 +85,7 @@
     void handleReport(const neighbour_report&, instant now);
     void handleRequest(const table_request&);
     void handleTokenRequest(const addressed_token_request&, instant now);
+    void tick(instant now);
     // Asks other data centres for tokens of teams that are short of them here.
     void requestTokens(instant now);
     // Returns the host of another data centre that the next request for tokens of a team goes to, or null. Requests go
