Core: A host that takes over reading the store asks at once

Cause: a host that had read before let the store hold its first call back for up to 1 s when it took over. Only a change of the upstreams ends that wait, and the configuration is another table. So a change acknowledged right after a confirmation took 1.5 s (the confirmation holds) + 0.05 to 0.25 s (the takeover) + 1 s + three calls. Ruled out: a dead connection of that host (no store-lost line, and its call took 1.0 s and not the timeout's 2.0 s), a lost relay (its neighbours had the change 0.2 ms after it). Change: reader_choice::allowedWait() allows a wait only to a host whose own last read of all tables succeeded and is fresh; confirmations date from the response that they rest on.

--- a/Source/Core/reader_choice.cxx
+++ b/Source/Core/reader_choice.cxx
@@ -34,6 +34,26 @@
         it.confirmation = confirmation;
 }
 
+void reader_choice::recordOwnConfirmation(instant respondedAt)
+{
+    m_ownConfirmedAt = respondedAt;
+    m_mayWait = true;
+}
+
+std::optional<instant> reader_choice::ownConfirmation(instant now) const
+{
+    if (now - m_ownConfirmedAt >= m_settings.confirmationTtl)
+        return std::nullopt;
+    return m_ownConfirmedAt;
+}
+
+duration reader_choice::allowedWait(duration pause, instant now) const
+{
+    if (!m_mayWait || !ownConfirmation(now))
+        return duration::zero();
+    return std::max(duration::zero(), m_settings.confirmationInterval - pause);
+}
+
 bool reader_choice::isFresh(const neighbour_row& it, instant now) const
 {
     return it.confirmation && now - it.confirmation->respondedAt < m_settings.confirmationTtl;
--- a/Source/Core/reader_choice.h
+++ b/Source/Core/reader_choice.h
@@ -44,9 +44,10 @@
 };
 
 struct reader_settings {
-    // Age at which a confirmation expires. It must exceed the time for which readers
-    // allow the store to delay its response to a call.
+    // Age at which a confirmation expires. It must exceed confirmationInterval.
     duration confirmationTtl = std::chrono::milliseconds(1500);
+    // Time between two responses of the store to the reader of a data centre.
+    duration confirmationInterval = std::chrono::milliseconds(1000);
     // When a reader stops reporting, hosts take over one after the other at this
     // interval. The total delay is at most maxStagger.
     duration stagger = std::chrono::milliseconds(50);
@@ -78,6 +79,22 @@
     // Records that a neighbour sent a report, and its confirmation if it reads.
     void recordNeighbour(const std::string& host, const std::optional<store_confirmation>&, instant now);
 
+    // Records that the store responded to this host, which knows all tables as of that response.
+    void recordOwnConfirmation(instant respondedAt);
+
+    // Records that a read by this host failed. What it confirmed before stays true.
+    void recordOwnFailure() { m_mayWait = false; }
+
+    // Returns when the store last responded to this host, or nullopt if that confirmation has
+    // expired.
+    std::optional<instant> ownConfirmation(instant now) const;
+
+    // Returns by how much the store may delay its response to the next call of this host,
+    // which begins the given pause after the previous one. Only a change of the table that is
+    // read ends the delay, so a host may wait only if it knew all tables a moment ago. A host
+    // that takes over, or whose last read failed, reads at once.
+    duration allowedWait(duration pause, instant now) const;
+
     // Returns whether this host should read now.
     bool shouldRead(instant now) const;
 
@@ -116,6 +133,9 @@
     reader_settings m_settings;
     std::string m_host;
     bool m_isCandidate = true;
+    instant m_ownConfirmedAt = distantPast;
+    // False after a failed read until the next confirmation.
+    bool m_mayWait = false;
     instant m_firstReadAt = distantPast;
     std::map<std::string, neighbour_row> m_neighbours;
 };
--- a/Source/fleet_feeds.h
+++ b/Source/fleet_feeds.h
@@ -96,8 +96,6 @@
     // short because hosts must stop using an upstream within seconds after it announced
     // that it is leaving.
     static constexpr duration upstreamReadInterval = std::chrono::milliseconds(700);
-    // Maximum time between two responses of the store to a reader.
-    static constexpr duration confirmationInterval = std::chrono::milliseconds(1000);
     // Neighbours relay changes within this time; a change that is still missing afterwards
     // was lost.
     static constexpr duration relayTimeout = std::chrono::milliseconds(60);
@@ -246,20 +244,22 @@
     // next read.
     duration readStore(bool hasOtherReader)
     {
-        // While changes of the other tables may be missing, the store must not delay its response.
-        const duration wait = m_areOtherTablesBehind ? duration::zero() : confirmationInterval - m_readDelay;
+        const duration wait = withReaderChoice([this](reader_choice& it) { return it.allowedWait(m_readDelay, presentInstant()); });
         const follower_step step = readFromStore(followed_table::Upstreams, wait);
+        const instant respondedAt = presentInstant();
         m_readDelay = step.delay;
         m_ledger.recordVersions(step.versions);
         if (!step.succeeded) {
-            m_readDelay = duration::zero();
+            withReaderChoice([](reader_choice& it) { it.recordOwnFailure(); });
             m_retryAt = presentInstant() + retryIntervalWithOtherReader;
             return hasOtherReader ? retryDelay : step.delay;
         }
-        m_areOtherTablesBehind = !readOtherTables();
-        if (m_areOtherTablesBehind)
+        if (!readOtherTables()) {
+            withReaderChoice([](reader_choice& it) { it.recordOwnFailure(); });
             return retryDelay;
-        recordConfirmation();
+        }
+        withReaderChoice([respondedAt](reader_choice& it) { it.recordOwnConfirmation(respondedAt); });
+        m_link.scheduleReport(update_urgency::High);
         return step.delay;
     }
 
@@ -281,15 +281,6 @@
         return true;
     }
 
-    void recordConfirmation()
-    {
-        {
-            const std::lock_guard lock(m_mutex);
-            m_confirmedAt = presentInstant();
-        }
-        m_link.scheduleReport(update_urgency::High);
-    }
-
     // Gets the tables whose latest changes a neighbour knows and this host does not. After
     // relayTimeout without these changes it asks that neighbour for the tables, and after
     // another relayTimeout it reads the store. Returns the time to wait before the next
@@ -343,10 +334,10 @@
 
     std::optional<store_confirmation> ownConfirmation()
     {
-        const std::lock_guard lock(m_mutex);
-        if (m_runtime.phase() != stop_phase::Running || presentInstant() - m_confirmedAt >= reader_settings {}.confirmationTtl)
+        const auto confirmedAt = withReaderChoice([](reader_choice& it) { return it.ownConfirmation(presentInstant()); });
+        if (m_runtime.phase() != stop_phase::Running || !confirmedAt)
             return std::nullopt;
-        return store_confirmation { m_confirmedAt, { m_configFollower->lastChangedVersion(), m_upstreamFollower->lastChangedVersion(), m_membershipFollower->lastChangedVersion() } };
+        return store_confirmation { *confirmedAt, { m_configFollower->lastChangedVersion(), m_upstreamFollower->lastChangedVersion(), m_membershipFollower->lastChangedVersion() } };
     }
 
     template <typename Function>
@@ -440,19 +431,17 @@
         bool hasAskedNeighbour = false;
     };
 
-    // Only m_thread uses the following six members.
+    // Only m_thread uses the following five members.
     version_ledger m_ledger;
     bool m_isReader = false;
     duration m_readDelay {};
     instant m_retryAt = distantPast;
-    bool m_areOtherTablesBehind = true;
     catch_up m_catchUp;
     // Only the link's thread uses these two.
     instant m_lastConfirmedAt = distantPast;
     bool m_isConfirmed = false;
     std::mutex m_mutex;
     std::condition_variable m_wake;
-    instant m_confirmedAt = distantPast;
     bool m_hasUpdates = false;
     bool m_isStopping = false;
     std::thread m_thread;
--- a/Tests/Proxy/fleet_feeds_test.cxx
+++ b/Tests/Proxy/fleet_feeds_test.cxx
@@ -6,6 +6,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <memory>
@@ -57,12 +58,21 @@
             return m_calls[host];
         }
 
-        // Makes the store unresponsive for one host, whose calls then time out.
+        // Makes the store unresponsive for one host, whose calls, the present one included, then
+        // time out.
         void makeUnresponsive(unsigned host)
         {
             const std::lock_guard lock(m_mutex);
             m_unresponsiveHosts.insert(host);
         }
+        void makeResponsive(unsigned host)
+        {
+            const std::lock_guard lock(m_mutex);
+            m_unresponsiveHosts.erase(host);
+        }
+        // Sets the time that each response takes, in addition to the wait for changes.
+        void setResponseTime(duration time) { m_responseTime = time; }
+        duration responseTime() const { return m_responseTime; }
         bool isUnresponsive(unsigned host)
         {
             const std::lock_guard lock(m_mutex);
@@ -85,6 +95,7 @@
         std::map<std::pair<std::string, std::string>, stored_row> m_rows;
         std::map<unsigned, unsigned> m_calls;
         std::set<unsigned> m_unresponsiveHosts;
+        std::atomic<duration> m_responseTime { duration::zero() };
         std::uint64_t m_version = 0;
     };
 
@@ -97,8 +108,12 @@
         store_response readChanges(const std::string& table, std::uint64_t after, duration wait)
         {
             rows->countCall(host);
-            if (!rows->isUnresponsive(host))
-                return rows->read(table, after, wait);
+            if (!rows->isUnresponsive(host)) {
+                store_response response = rows->read(table, after, wait);
+                std::this_thread::sleep_for(rows->responseTime());
+                if (!rows->isUnresponsive(host))
+                    return response;
+            }
             std::this_thread::sleep_for(callTimeout);
             return { store_result::Unknown, {}, 0, absl::DeadlineExceededError("silent") };
         }
@@ -192,6 +207,13 @@
             return waitFor([&] { return std::all_of(m_hosts.begin(), m_hosts.end(), [&](const auto& it) { return condition(*it); }); });
         }
 
+        // Waits until a host has called the store a number of times more.
+        bool waitForCalls(unsigned host, unsigned count)
+        {
+            const unsigned before = rows->calls(host);
+            return waitFor([&] { return rows->calls(host) >= before + count; });
+        }
+
         // Waits until only one host calls the store, and returns the index of that host.
         std::optional<unsigned> waitForSingleReader()
         {
@@ -308,6 +330,31 @@
     CHECK(fleet.allReach([](test_host& it) { return it.configVersion() == 2 && it.usesUpstream("u1"); }));
 }
 
+// Guards against a takeover that lets the store delay its first response: the host that took over learned of a change
+// of the configuration up to a second after its call began, 3 s after the change.
+TEST_CASE("a change is in force within 2.5 s although the store stops answering the reader right before it", "[feeds]")
+{
+    constexpr duration configBound = 2500ms;
+    test_fleet fleet(2);
+    fleet.rows->setResponseTime(40ms);
+    REQUIRE(fleet.allReach([](test_host& it) { return it.configVersion() == 1 && it.usesUpstream("u0"); }));
+    const auto reader = fleet.waitForSingleReader();
+    REQUIRE(reader);
+    // The other host reads for a while, so that it is no newcomer when it takes over again.
+    const unsigned other = 1 - *reader;
+    fleet.rows->makeUnresponsive(*reader);
+    REQUIRE(fleet.waitForCalls(other, 6));
+    fleet.rows->makeResponsive(*reader);
+    REQUIRE(fleet.waitForSingleReader() == reader);
+
+    REQUIRE(fleet.waitForCalls(*reader, 1));
+    fleet.rows->makeUnresponsive(*reader);
+    fleet.rows->write("plans", "plan", "2");
+    const instant changedAt = presentInstant();
+    REQUIRE(fleet.allReach([](test_host& it) { return it.configVersion() == 2; }));
+    CHECK(presentInstant() - changedAt < configBound);
+}
+
 TEST_CASE("all hosts learn of an evacuation, also through a neighbour and after a later start", "[feeds][evacuation]")
 {
     test_fleet fleet(3);
