Proxy: A table of the store without response holds up no other

Cause: after a wait the reader read the membership before the configuration and gave up the configuration when that failed; and it read neither when the upstreams' table failed. Found by adding up the longest times for each way in which a reader can fail. Change: the configuration is read first; a host that reads without a wait begins after a failure with the next table, with that table's own delay in place of a fixed one.

--- a/Source/fleet_feeds.h
+++ b/Source/fleet_feeds.h
@@ -21,6 +21,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -240,45 +241,77 @@
         logInfo(absl::StrCat("event=reader reads=", isReader ? "yes" : "no", " neighbour_confirmed_ms_ago=", age));
     }
 
+    // Result of reading all tables.
+    struct store_reading {
+        bool succeeded = false;
+        // When the store responded with the version up to which all tables are known.
+        instant respondedAt = distantPast;
+        // Time to wait before the next read.
+        duration delay {};
+    };
+
     // Reads the store as the reader of this data centre. Returns the time to wait before the
     // next read.
     duration readStore(bool hasOtherReader)
     {
         const duration wait = withReaderChoice([this](reader_choice& it) { return it.allowedWait(m_readDelay, presentInstant()); });
-        const follower_step step = readFromStore(followed_table::Upstreams, wait);
-        const instant respondedAt = presentInstant();
-        m_readDelay = step.delay;
-        m_ledger.recordVersions(step.versions);
-        if (!step.succeeded) {
+        const store_reading reading = wait > duration::zero() ? pollTables(wait) : readTablesInTurn();
+        m_readDelay = reading.delay;
+        if (!reading.succeeded) {
             withReaderChoice([](reader_choice& it) { it.recordOwnFailure(); });
             m_retryAt = presentInstant() + retryIntervalWithOtherReader;
-            return hasOtherReader ? retryDelay : step.delay;
+            return hasOtherReader ? retryDelay : reading.delay;
         }
-        if (!readOtherTables()) {
-            withReaderChoice([](reader_choice& it) { it.recordOwnFailure(); });
-            return retryDelay;
-        }
-        withReaderChoice([respondedAt](reader_choice& it) { it.recordOwnConfirmation(respondedAt); });
+        withReaderChoice([&](reader_choice& it) { it.recordOwnConfirmation(reading.respondedAt); });
         m_link.scheduleReport(update_urgency::High);
-        return step.delay;
+        return reading.delay;
     }
 
-    // Reads the membership and the serving configuration if the store's version shows that
-    // rows other than those already read may have changed. Returns whether all tables are
-    // known up to that version.
-    bool readOtherTables()
+    // Waits for changes of the upstreams. Reads the other tables if the store's version shows
+    // that rows other than those already read may have changed.
+    store_reading pollTables(duration wait)
     {
+        const follower_step upstreams = readFromStore(followed_table::Upstreams, wait);
+        const instant respondedAt = presentInstant();
+        m_ledger.recordVersions(upstreams.versions);
+        if (!upstreams.succeeded)
+            return { false, respondedAt, upstreams.delay };
         const std::uint64_t version = m_upstreamFollower->version();
-        for (const followed_table table : { followed_table::Membership, followed_table::ServingConfig }) {
+        for (const followed_table table : { followed_table::ServingConfig, followed_table::Membership }) {
             if (m_ledger.isCompleteUpTo(version) || followerOf(table).version() >= version)
                 continue;
             const follower_step step = readFromStore(table, duration::zero());
             if (!step.succeeded)
-                return false;
+                return { false, respondedAt, step.delay };
+            m_ledger.recordVersions(step.versions);
+        }
+        m_ledger.markCompleteUpTo(version);
+        return { true, respondedAt, upstreams.delay };
+    }
+
+    // Reads all tables without a wait. After a failure the next call begins with the table
+    // behind the one that failed, so that a table without response does not hold up the others.
+    store_reading readTablesInTurn()
+    {
+        constexpr std::size_t tableCount = followedTableNames.size();
+        instant respondedAt = distantPast;
+        std::uint64_t version = std::numeric_limits<std::uint64_t>::max();
+        for (std::size_t index = 0; index < tableCount; ++index) {
+            const std::size_t position = (m_firstTable + index) % tableCount;
+            const auto table = static_cast<followed_table>(position);
+            const follower_step step = readFromStore(table, duration::zero());
+            if (!step.succeeded) {
+                m_firstTable = (position + 1) % tableCount;
+                return { false, distantPast, step.delay };
+            }
+            if (index == 0)
+                respondedAt = presentInstant();
             m_ledger.recordVersions(step.versions);
+            version = std::min(version, followerOf(table).version());
         }
+        m_firstTable = 0;
         m_ledger.markCompleteUpTo(version);
-        return true;
+        return { true, respondedAt, duration::zero() };
     }
 
     // Gets the tables whose latest changes a neighbour knows and this host does not. After
@@ -431,10 +464,12 @@
         bool hasAskedNeighbour = false;
     };
 
-    // Only m_thread uses the following five members.
+    // Only m_thread uses the following six members.
     version_ledger m_ledger;
     bool m_isReader = false;
     duration m_readDelay {};
+    // The table with which readTablesInTurn() begins.
+    std::size_t m_firstTable = 0;
     instant m_retryAt = distantPast;
     catch_up m_catchUp;
     // Only the link's thread uses these two.
