Proxy: Hosts ask others for tables that the store does not answer for

Cause: a data centre to which the store responded nowhere went on with what it knew although other data centres knew more; and a host that started while the store answered nobody refused all requests until the store was back, since it asked only neighbours with a fresh confirmation. Change: table_request_schedule decides in Core, without a network, whom a host asks and when; requests carry the version that is known, so that only tables that changed are sent, and what comes from another data centre is relayed to the neighbours. Asked from the link's thread, which waits for no call to the store. New fields of two datagrams; hosts of the version before ignore them.

--- a/Source/Generated/neighbour.pb.cxx
+++ b/Source/Generated/neighbour.pb.cxx
@@ -191,10 +191,11 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.packed_rows_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.after_)*/uint64_t{0u}
+  , /*decltype(_impl_.version_)*/uint64_t{0u}
   , /*decltype(_impl_.table_)*/0u
   , /*decltype(_impl_.was_away_)*/false
   , /*decltype(_impl_.is_full_table_)*/false
-  , /*decltype(_impl_.version_)*/uint64_t{0u}
+  , /*decltype(_impl_.is_for_data_centre_)*/false
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct TableReadingDefaultTypeInternal {
   PROTOBUF_CONSTEXPR TableReadingDefaultTypeInternal()
@@ -208,6 +209,7 @@
 PROTOBUF_CONSTEXPR TableRequest::TableRequest(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
+  , /*decltype(_impl_.known_version_)*/uint64_t{0u}
   , /*decltype(_impl_.table_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct TableRequestDefaultTypeInternal {
@@ -401,6 +403,7 @@
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.version_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.packed_rows_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.is_full_table_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.is_for_data_centre_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableRequest, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -409,6 +412,7 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableRequest, _impl_.table_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableRequest, _impl_.address_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableRequest, _impl_.known_version_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TokenRequest, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -461,11 +465,11 @@
   { 87, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
   { 97, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
   { 104, -1, -1, sizeof(::almondmoor::wire::TableReading)},
-  { 116, -1, -1, sizeof(::almondmoor::wire::TableRequest)},
-  { 124, -1, -1, sizeof(::almondmoor::wire::TokenRequest)},
-  { 134, -1, -1, sizeof(::almondmoor::wire::TokenGrant)},
-  { 143, -1, -1, sizeof(::almondmoor::wire::Datagram)},
-  { 155, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
+  { 117, -1, -1, sizeof(::almondmoor::wire::TableRequest)},
+  { 126, -1, -1, sizeof(::almondmoor::wire::TokenRequest)},
+  { 136, -1, -1, sizeof(::almondmoor::wire::TokenGrant)},
+  { 145, -1, -1, sizeof(::almondmoor::wire::Datagram)},
+  { 157, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -518,28 +522,29 @@
   "(\r\022\022\n\nchanged_at\030\002 \003(\004\"L\n\tStoredRow\022\013\n\003k"
   "ey\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\017\n\007version\030\003 \001(\004"
   "\022\022\n\nis_removed\030\004 \001(\010\"6\n\nStoredRows\022(\n\004ro"
-  "ws\030\001 \003(\0132\032.almondmoor.wire.StoredRow\"{\n\014"
-  "TableReading\022\r\n\005table\030\001 \001(\r\022\020\n\010was_away\030"
-  "\002 \001(\010\022\r\n\005after\030\003 \001(\004\022\017\n\007version\030\004 \001(\004\022\023\n"
-  "\013packed_rows\030\005 \001(\014\022\025\n\ris_full_table\030\006 \001("
-  "\010\".\n\014TableRequest\022\r\n\005table\030\001 \001(\r\022\017\n\007addr"
-  "ess\030\002 \001(\t\"M\n\014TokenRequest\022\014\n\004team\030\001 \001(\t\022"
-  "\016\n\006tokens\030\002 \001(\001\022\016\n\006number\030\003 \001(\004\022\017\n\007addre"
-  "ss\030\004 \001(\t\":\n\nTokenGrant\022\014\n\004team\030\001 \001(\t\022\016\n\006"
-  "tokens\030\002 \001(\001\022\016\n\006number\030\003 \001(\004\"\231\002\n\010Datagra"
-  "m\0222\n\006report\030\001 \001(\0132 .almondmoor.wire.Neig"
-  "hbourReportH\000\0220\n\007reading\030\002 \001(\0132\035.almondm"
-  "oor.wire.TableReadingH\000\0220\n\007request\030\003 \001(\013"
-  "2\035.almondmoor.wire.TableRequestH\000\0226\n\rtok"
-  "en_request\030\004 \001(\0132\035.almondmoor.wire.Token"
-  "RequestH\000\0222\n\013token_grant\030\005 \001(\0132\033.almondm"
-  "oor.wire.TokenGrantH\000B\t\n\007content\"3\n\013Rost"
-  "erEntry\022\017\n\007address\030\001 \001(\t\022\023\n\013data_centre\030"
-  "\002 \001(\tb\006proto3"
+  "ws\030\001 \003(\0132\032.almondmoor.wire.StoredRow\"\227\001\n"
+  "\014TableReading\022\r\n\005table\030\001 \001(\r\022\020\n\010was_away"
+  "\030\002 \001(\010\022\r\n\005after\030\003 \001(\004\022\017\n\007version\030\004 \001(\004\022\023"
+  "\n\013packed_rows\030\005 \001(\014\022\025\n\ris_full_table\030\006 \001"
+  "(\010\022\032\n\022is_for_data_centre\030\007 \001(\010\"E\n\014TableR"
+  "equest\022\r\n\005table\030\001 \001(\r\022\017\n\007address\030\002 \001(\t\022\025"
+  "\n\rknown_version\030\003 \001(\004\"M\n\014TokenRequest\022\014\n"
+  "\004team\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\001\022\016\n\006number\030\003 "
+  "\001(\004\022\017\n\007address\030\004 \001(\t\":\n\nTokenGrant\022\014\n\004te"
+  "am\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\001\022\016\n\006number\030\003 \001(\004"
+  "\"\231\002\n\010Datagram\0222\n\006report\030\001 \001(\0132 .almondmo"
+  "or.wire.NeighbourReportH\000\0220\n\007reading\030\002 \001"
+  "(\0132\035.almondmoor.wire.TableReadingH\000\0220\n\007r"
+  "equest\030\003 \001(\0132\035.almondmoor.wire.TableRequ"
+  "estH\000\0226\n\rtoken_request\030\004 \001(\0132\035.almondmoo"
+  "r.wire.TokenRequestH\000\0222\n\013token_grant\030\005 \001"
+  "(\0132\033.almondmoor.wire.TokenGrantH\000B\t\n\007con"
+  "tent\"3\n\013RosterEntry\022\017\n\007address\030\001 \001(\t\022\023\n\013"
+  "data_centre\030\002 \001(\tb\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_neighbour_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_neighbour_2eproto = {
-    false, false, 1893, descriptor_table_protodef_neighbour_2eproto,
+    false, false, 1945, descriptor_table_protodef_neighbour_2eproto,
     "neighbour.proto",
     &descriptor_table_neighbour_2eproto_once, nullptr, 0, 16,
     schemas, file_default_instances, TableStruct_neighbour_2eproto::offsets,
@@ -3739,10 +3744,11 @@
   new (&_impl_) Impl_{
       decltype(_impl_.packed_rows_){}
     , decltype(_impl_.after_){}
+    , decltype(_impl_.version_){}
     , decltype(_impl_.table_){}
     , decltype(_impl_.was_away_){}
     , decltype(_impl_.is_full_table_){}
-    , decltype(_impl_.version_){}
+    , decltype(_impl_.is_for_data_centre_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -3755,8 +3761,8 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.after_, &from._impl_.after_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.version_) -
-    reinterpret_cast<char*>(&_impl_.after_)) + sizeof(_impl_.version_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.is_for_data_centre_) -
+    reinterpret_cast<char*>(&_impl_.after_)) + sizeof(_impl_.is_for_data_centre_));
   // @@protoc_insertion_point(copy_constructor:almondmoor.wire.TableReading)
 }
 
@@ -3767,10 +3773,11 @@
   new (&_impl_) Impl_{
       decltype(_impl_.packed_rows_){}
     , decltype(_impl_.after_){uint64_t{0u}}
+    , decltype(_impl_.version_){uint64_t{0u}}
     , decltype(_impl_.table_){0u}
     , decltype(_impl_.was_away_){false}
     , decltype(_impl_.is_full_table_){false}
-    , decltype(_impl_.version_){uint64_t{0u}}
+    , decltype(_impl_.is_for_data_centre_){false}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.packed_rows_.InitDefault();
@@ -3805,8 +3812,8 @@
 
   _impl_.packed_rows_.ClearToEmpty();
   ::memset(&_impl_.after_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.version_) -
-      reinterpret_cast<char*>(&_impl_.after_)) + sizeof(_impl_.version_));
+      reinterpret_cast<char*>(&_impl_.is_for_data_centre_) -
+      reinterpret_cast<char*>(&_impl_.after_)) + sizeof(_impl_.is_for_data_centre_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -3865,6 +3872,14 @@
         } else
           goto handle_unusual;
         continue;
+      // bool is_for_data_centre = 7;
+      case 7:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 56)) {
+          _impl_.is_for_data_centre_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -3930,6 +3945,12 @@
     target = ::_pbi::WireFormatLite::WriteBoolToArray(6, this->_internal_is_full_table(), target);
   }
 
+  // bool is_for_data_centre = 7;
+  if (this->_internal_is_for_data_centre() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteBoolToArray(7, this->_internal_is_for_data_centre(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -3958,6 +3979,11 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_after());
   }
 
+  // uint64 version = 4;
+  if (this->_internal_version() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_version());
+  }
+
   // uint32 table = 1;
   if (this->_internal_table() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_table());
@@ -3973,9 +3999,9 @@
     total_size += 1 + 1;
   }
 
-  // uint64 version = 4;
-  if (this->_internal_version() != 0) {
-    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_version());
+  // bool is_for_data_centre = 7;
+  if (this->_internal_is_for_data_centre() != 0) {
+    total_size += 1 + 1;
   }
 
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
@@ -4002,6 +4028,9 @@
   if (from._internal_after() != 0) {
     _this->_internal_set_after(from._internal_after());
   }
+  if (from._internal_version() != 0) {
+    _this->_internal_set_version(from._internal_version());
+  }
   if (from._internal_table() != 0) {
     _this->_internal_set_table(from._internal_table());
   }
@@ -4011,8 +4040,8 @@
   if (from._internal_is_full_table() != 0) {
     _this->_internal_set_is_full_table(from._internal_is_full_table());
   }
-  if (from._internal_version() != 0) {
-    _this->_internal_set_version(from._internal_version());
+  if (from._internal_is_for_data_centre() != 0) {
+    _this->_internal_set_is_for_data_centre(from._internal_is_for_data_centre());
   }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
@@ -4038,8 +4067,8 @@
       &other->_impl_.packed_rows_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(TableReading, _impl_.version_)
-      + sizeof(TableReading::_impl_.version_)
+      PROTOBUF_FIELD_OFFSET(TableReading, _impl_.is_for_data_centre_)
+      + sizeof(TableReading::_impl_.is_for_data_centre_)
       - PROTOBUF_FIELD_OFFSET(TableReading, _impl_.after_)>(
           reinterpret_cast<char*>(&_impl_.after_),
           reinterpret_cast<char*>(&other->_impl_.after_));
@@ -4068,6 +4097,7 @@
   TableRequest* const _this = this; (void)_this;
   new (&_impl_) Impl_{
       decltype(_impl_.address_){}
+    , decltype(_impl_.known_version_){}
     , decltype(_impl_.table_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
@@ -4080,7 +4110,9 @@
     _this->_impl_.address_.Set(from._internal_address(), 
       _this->GetArenaForAllocation());
   }
-  _this->_impl_.table_ = from._impl_.table_;
+  ::memcpy(&_impl_.known_version_, &from._impl_.known_version_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.table_) -
+    reinterpret_cast<char*>(&_impl_.known_version_)) + sizeof(_impl_.table_));
   // @@protoc_insertion_point(copy_constructor:almondmoor.wire.TableRequest)
 }
 
@@ -4090,6 +4122,7 @@
   (void)is_message_owned;
   new (&_impl_) Impl_{
       decltype(_impl_.address_){}
+    , decltype(_impl_.known_version_){uint64_t{0u}}
     , decltype(_impl_.table_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
@@ -4124,7 +4157,9 @@
   (void) cached_has_bits;
 
   _impl_.address_.ClearToEmpty();
-  _impl_.table_ = 0u;
+  ::memset(&_impl_.known_version_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.table_) -
+      reinterpret_cast<char*>(&_impl_.known_version_)) + sizeof(_impl_.table_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -4152,6 +4187,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint64 known_version = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 24)) {
+          _impl_.known_version_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -4197,6 +4240,12 @@
         2, this->_internal_address(), target);
   }
 
+  // uint64 known_version = 3;
+  if (this->_internal_known_version() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_known_version(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -4220,6 +4269,11 @@
         this->_internal_address());
   }
 
+  // uint64 known_version = 3;
+  if (this->_internal_known_version() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_known_version());
+  }
+
   // uint32 table = 1;
   if (this->_internal_table() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_table());
@@ -4246,6 +4300,9 @@
   if (!from._internal_address().empty()) {
     _this->_internal_set_address(from._internal_address());
   }
+  if (from._internal_known_version() != 0) {
+    _this->_internal_set_known_version(from._internal_known_version());
+  }
   if (from._internal_table() != 0) {
     _this->_internal_set_table(from._internal_table());
   }
@@ -4272,7 +4329,12 @@
       &_impl_.address_, lhs_arena,
       &other->_impl_.address_, rhs_arena
   );
-  swap(_impl_.table_, other->_impl_.table_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(TableRequest, _impl_.table_)
+      + sizeof(TableRequest::_impl_.table_)
+      - PROTOBUF_FIELD_OFFSET(TableRequest, _impl_.known_version_)>(
+          reinterpret_cast<char*>(&_impl_.known_version_),
+          reinterpret_cast<char*>(&other->_impl_.known_version_));
 }
 
 ::PROTOBUF_NAMESPACE_ID::Metadata TableRequest::GetMetadata() const {
--- a/Source/Platform/table_follower.h
+++ b/Source/Platform/table_follower.h
@@ -111,11 +111,12 @@
         return true;
     }
 
-    // Returns all rows as known here, or nothing before the full table is known.
-    std::optional<table_update> fullTable() const
+    // Returns all rows as known here, or nothing before the full table is known or if it has not changed after the given
+    // version.
+    std::optional<table_update> fullTable(std::uint64_t knownVersion = 0) const
     {
         const std::lock_guard lock(m_mutex);
-        if (m_needsFullRead)
+        if (m_needsFullRead || (knownVersion > 0 && m_lastChangedVersion <= knownVersion))
             return std::nullopt;
         table_update update { true, false, {}, 0, m_version };
         for (const auto& [key, row] : m_rows)
@@ -130,7 +131,14 @@
         return m_needsFullRead || m_version < lastChangedVersion;
     }
 
-    // Returns the version of the store up to which the table is known.
+    // Returns whether the full table is not known.
+    bool lacksTable() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_needsFullRead;
+    }
+
+    // Returns the version of the store up to which the table is known, also if its history was discarded since.
     std::uint64_t version() const
     {
         const std::lock_guard lock(m_mutex);
--- a/Source/fleet_feeds.h
+++ b/Source/fleet_feeds.h
@@ -58,6 +58,7 @@
         , m_configFollower(makeFollower(followed_table::ServingConfig, { .table = m_source.configTable }, [this](const table_update& it) { applyOperatorRows(it); }))
         , m_upstreamFollower(makeFollower(followed_table::Upstreams, { .table = m_source.upstreamTable, .delayAfterChanges = upstreamReadInterval }, [this](const table_update& it) { m_runtime.applyUpstreams(it, m_source.decodeUpstream); }))
         , m_membershipFollower(makeFollower(followed_table::Membership, { .table = m_source.membershipTable }, [this](const table_update& it) { applyMembershipRows(it); }))
+        , m_requestSchedule({}, presentInstant(), runtime.seed())
     {
     }
 
@@ -72,8 +73,11 @@
             { [this](const std::string& host, const auto& confirmation) { recordNeighbourReport(host, confirmation); },
                 [this](const table_reading& it) { applyReading(it); },
                 [this] { return ownConfirmation(); },
-                [this](followed_table table) { return followerOf(table).fullTable(); },
-                [this](instant now) { updateConfirmationAge(now); } });
+                [this](followed_table table, std::uint64_t knownVersion) { return followerOf(table).fullTable(knownVersion); },
+                [this](instant now) {
+                    updateConfirmationAge(now);
+                    requestTables(now);
+                } });
         m_thread = std::thread([this] { run(); });
     }
 
@@ -178,6 +182,26 @@
             return;
         logInfo(absl::StrCat("event=table-relayed table=", std::string(nameIn(followedTableNames, reading.table)), " full=", reading.update.isFullTable ? "yes" : "no",
             " after=", reading.update.after, " version=", reading.update.version));
+        if (reading.isForDataCentre)
+            m_link.relayReading({ reading.table, reading.update });
+    }
+
+    // Asks other hosts for tables that neither the store nor a neighbour that reads it provides.
+    void requestTables(instant now)
+    {
+        table_request_schedule::knowledge known { false, m_lastConfirmedAt, m_runtime.withCore([](dispatch_core& it) { return it.knownNeighbours(); }) };
+        neighbour_link::table_versions versions {};
+        for (const auto& [table, name] : followedTableNames) {
+            const bool isLacking = followerOf(table).lacksTable();
+            known.lacksTable = known.lacksTable || isLacking;
+            versions[static_cast<std::size_t>(table)] = isLacking ? 0 : followerOf(table).version();
+        }
+        const table_source source = m_requestSchedule.next(known, now);
+        if (source == table_source::None)
+            return;
+        // A host that starts may know only neighbours, from their reports, or only hosts of other data centres.
+        if (!m_link.requestTables(source, versions))
+            m_link.requestTables(source == table_source::Neighbour ? table_source::OtherDataCentre : table_source::Neighbour, versions);
     }
 
     // Updates the gauge and logs when this host begins and ceases to rely on tables that no reader confirms.
@@ -472,7 +496,8 @@
     std::size_t m_firstTable = 0;
     instant m_retryAt = distantPast;
     catch_up m_catchUp;
-    // Only the link's thread uses these two.
+    // Only the link's thread uses these three.
+    table_request_schedule m_requestSchedule;
     instant m_lastConfirmedAt = distantPast;
     bool m_isConfirmed = false;
     std::mutex m_mutex;
--- a/Source/metrics.h
+++ b/Source/metrics.h
@@ -58,10 +58,11 @@
     TokenRequestsSent,
     TokenGrantsSent,
     ColdRequestsSent,
-    ColdUpstreamsDenied
+    ColdUpstreamsDenied,
+    TableRequestsSent
 };
 
-inline constexpr name_table<event, 35> eventNames { {
+inline constexpr name_table<event, 36> eventNames { {
     { event::RequestsReceived, "requests_received" },
     { event::ResponsesForwarded, "answers_passed" },
     { event::ResponsesAborted, "answers_aborted" },
@@ -97,6 +98,7 @@
     { event::TokenGrantsSent, "token_grants_sent" },
     { event::ColdRequestsSent, "cold_requests_sent" },
     { event::ColdUpstreamsDenied, "cold_upstreams_denied" },
+    { event::TableRequestsSent, "table_requests_sent" },
 } };
 
 // Values that may rise and fall.
--- a/Source/neighbour_codec.cxx
+++ b/Source/neighbour_codec.cxx
@@ -121,6 +121,7 @@
         reading.update.isFirstAfterOutage = in.was_away();
         reading.update.after = in.after();
         reading.update.version = in.version();
+        reading.isForDataCentre = in.is_for_data_centre();
         for (const auto& row : rows.rows())
             reading.update.rows.push_back({ row.key(), row.value(), row.version(), row.is_removed() });
         return reading;
@@ -130,7 +131,7 @@
     {
         if (in.table() >= followedTableNames.size() || in.address().empty())
             return std::nullopt;
-        return table_request { static_cast<followed_table>(in.table()), in.address() };
+        return table_request { static_cast<followed_table>(in.table()), in.address(), in.known_version() };
     }
 
     std::optional<neighbour_datagram> decodeTokenRequest(const wire::TokenRequest& in)
@@ -221,6 +222,7 @@
     out.set_was_away(reading.update.isFirstAfterOutage);
     out.set_after(reading.update.after);
     out.set_version(reading.update.version);
+    out.set_is_for_data_centre(reading.isForDataCentre);
     wire::StoredRows rows;
     for (const stored_row& row : reading.update.rows) {
         auto* entry = rows.add_rows();
@@ -239,6 +241,7 @@
     wire::TableRequest& out = *datagram.mutable_request();
     out.set_table(static_cast<std::uint32_t>(request.table));
     out.set_address(request.address);
+    out.set_known_version(request.knownVersion);
     return datagram.SerializeAsString();
 }
 
--- a/Source/neighbour_codec.h
+++ b/Source/neighbour_codec.h
@@ -13,17 +13,22 @@
 
 namespace almondmoor {
 
-// Changes that a host read from a table of the store and relays to its neighbours, or a whole table that a neighbour
-// asked for.
+// Changes that a host read from a table of the store and relays to its neighbours, or a whole table that a host asked
+// for.
 struct table_reading {
     followed_table table = followed_table::ServingConfig;
     table_update update;
+    // Whether the receiver should relay the reading to its neighbours, because the sender is in another data centre.
+    bool isForDataCentre = false;
 };
 
-// Asks a neighbour for a whole table, which it sends to the address of the form IP-NUMBER:PORT.
+// Asks a host for a whole table, which it sends to the address of the form IP-NUMBER:PORT.
 struct table_request {
     followed_table table = followed_table::ServingConfig;
     std::string address;
+    // Version of the store up to which the asking host knows the table, or zero if it lacks it. Only a table that changed
+    // later is sent.
+    std::uint64_t knownVersion = 0;
 };
 
 // A request for tokens, and the address of the form IP-NUMBER:PORT that gets the grant.
--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -201,14 +201,15 @@
         const std::lock_guard lock(m_mutex);
         return m_readingHandlers.fullTable;
     }();
-    const auto update = fullTable ? fullTable(request.table) : std::nullopt;
+    const auto update = fullTable ? fullTable(request.table, request.knownVersion) : std::nullopt;
     if (!update)
         return;
-    const std::string bytes = encodeReading({ request.table, *update });
     const std::lock_guard lock(m_mutex);
-    const auto isSender = [&](const auto& it) { return it.second.address == request.address && it.second.dataCentre == m_runtime.settings().dataCentre; };
-    const auto sender = std::find_if(m_hosts.begin(), m_hosts.end(), isSender);
-    if (sender != m_hosts.end() && bytes.size() <= maxDatagramBytes)
+    const auto sender = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const auto& it) { return it.second.address == request.address; });
+    if (sender == m_hosts.end())
+        return;
+    const std::string bytes = encodeReading({ request.table, *update, sender->second.dataCentre != m_runtime.settings().dataCentre });
+    if (bytes.size() <= maxDatagramBytes)
         sendTo(sender->second, bytes);
 }
 
@@ -229,17 +230,22 @@
         sendTo(sender->second, encodeGrant(*grant));
 }
 
-const membership_entry* neighbour_link::lenderOf(const token_request& request) const
+neighbour_link::remote_hosts neighbour_link::remoteHosts() const
 {
     const auto& settings = m_runtime.settings();
-    std::map<std::string, std::vector<std::string>> near;
-    auto far = near;
+    remote_hosts remote;
     for (const auto& [name, entry] : m_hosts) {
         if (entry.dataCentre == settings.dataCentre)
             continue;
-        auto& group = isSameRegion(settings.regions, entry.dataCentre, settings.dataCentre) ? near : far;
+        auto& group = isSameRegion(settings.regions, entry.dataCentre, settings.dataCentre) ? remote.ofRegion : remote.ofOtherRegions;
         group[entry.dataCentre].push_back(name);
     }
+    return remote;
+}
+
+const membership_entry* neighbour_link::lenderOf(const token_request& request) const
+{
+    const auto [near, far] = remoteHosts();
     if (near.empty() && far.empty())
         return nullptr;
     // Two thirds of the requests go to the same region.
@@ -271,7 +277,39 @@
     const std::lock_guard lock(m_mutex);
     const auto found = m_hosts.find(host);
     if (found != m_hosts.end())
-        sendTo(found->second, encodeRequest({ table, m_runtime.settings().peerAddress }));
+        sendTo(found->second, encodeRequest({ table, m_runtime.settings().peerAddress, 0 }));
+}
+
+const membership_entry* neighbour_link::chooseHost(table_source source)
+{
+    const auto& settings = m_runtime.settings();
+    std::vector<std::string> hosts;
+    if (source == table_source::Neighbour) {
+        for (const auto& [name, entry] : m_hosts) {
+            if (entry.dataCentre == settings.dataCentre && name != settings.hostName)
+                hosts.push_back(name);
+        }
+    } else {
+        // Half of the requests go to the same region. The store may respond to none of its hosts.
+        const auto [near, far] = remoteHosts();
+        const auto& group = far.empty() || (!near.empty() && m_random() % 2 == 0) ? near : far;
+        if (!group.empty())
+            hosts = std::next(group.begin(), static_cast<std::ptrdiff_t>(m_random() % group.size()))->second;
+    }
+    return hosts.empty() ? nullptr : &m_hosts.at(hosts[m_random() % hosts.size()]);
+}
+
+bool neighbour_link::requestTables(table_source source, const table_versions& knownVersions)
+{
+    const std::lock_guard lock(m_mutex);
+    const membership_entry* host = chooseHost(source);
+    if (!host)
+        return false;
+    m_runtime.counters().add(event::TableRequestsSent);
+    logInfo(absl::StrCat("event=tables-requested from=", std::string(nameIn(tableSourceNames, source)), " host=", host->address, " data_centre=", host->dataCentre));
+    for (const auto& [table, name] : followedTableNames)
+        sendTo(*host, encodeRequest({ table, m_runtime.settings().peerAddress, knownVersions[static_cast<std::size_t>(table)] }));
+    return true;
 }
 
 neighbour_report neighbour_link::makeReport()
--- a/Source/neighbour_link.h
+++ b/Source/neighbour_link.h
@@ -16,9 +16,11 @@
 #pragma once
 
 #include "Core/report_pacing.h"
+#include "Core/table_request_schedule.h"
 #include "proxy_runtime.h"
 
 #include <Poco/Net/DatagramSocket.h>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -38,8 +40,9 @@
     std::function<void(const table_reading&)> readingReceived;
     // Returns the confirmation to send in reports, or nullopt if this host has none.
     std::function<std::optional<store_confirmation>()> confirmation;
-    // Returns a whole table for a neighbour that asked for it, or nullopt if it is not known.
-    std::function<std::optional<table_update>(followed_table)> fullTable;
+    // Returns a whole table for a host that asked for it, or nullopt if it is not known or has not changed after the
+    // version that the host knows.
+    std::function<std::optional<table_update>(followed_table, std::uint64_t knownVersion)> fullTable;
     // Called at each tick of the link's thread.
     std::function<void(instant now)> tick;
 };
@@ -72,6 +75,11 @@
     // the response may get lost.
     void requestTable(const std::string& host, followed_table);
 
+    // Asks one random host of this data centre, or of another one, for those tables that changed after the given
+    // versions of the store, indexed by followed_table. Returns false if no such host is known.
+    using table_versions = std::array<std::uint64_t, followedTableNames.size()>;
+    bool requestTables(table_source, const table_versions&);
+
     // Records that there is an update to report. Sends the report immediately if the update
     // is urgent and the last report is not too recent; otherwise the thread sends the report
     // when it is due.
@@ -91,6 +99,15 @@
     // Returns the host of another data centre that the next request for tokens of a team goes to, or null. Requests go
     // round the data centres, those of the same region first. The caller holds m_mutex.
     const membership_entry* lenderOf(const token_request&) const;
+    // The hosts of other data centres by data centre.
+    struct remote_hosts {
+        std::map<std::string, std::vector<std::string>> ofRegion;
+        std::map<std::string, std::vector<std::string>> ofOtherRegions;
+    };
+    // The caller holds m_mutex.
+    remote_hosts remoteHosts() const;
+    // Returns a random host to ask for tables, or null. The caller holds m_mutex.
+    const membership_entry* chooseHost(table_source);
     // Passes the number of hosts in this data centre to the pacing of reports. The caller
     // holds m_mutex.
     void updateNeighbourCount();
--- a/Tests/Core/table_follower_test.cxx
+++ b/Tests/Core/table_follower_test.cxx
@@ -186,6 +186,20 @@
     CHECK_FALSE(follower_fixture().follower.fullTable());
 }
 
+TEST_CASE("a follower gives its table only if that changed after the version that is known", "[follower]")
+{
+    follower_fixture fixture;
+    fixture.store.script->responses = { successfulResponse(7, { { "a", "1", 3, false } }), successfulResponse(9, { { "a", "2", 9, false } }), successfulResponse(12) };
+    CHECK_FALSE(fixture.follower.fullTable(0));
+    for (int read = 0; read < 3; ++read)
+        (void)fixture.follower.step(maxWait);
+    CHECK(fixture.follower.version() == 12);
+    CHECK(fixture.follower.fullTable(0));
+    CHECK(fixture.follower.fullTable(8));
+    CHECK_FALSE(fixture.follower.fullTable(9));
+    CHECK_FALSE(fixture.follower.fullTable(12));
+}
+
 TEST_CASE("a follower drops a response of the store that is older than a neighbour's update", "[follower]")
 {
     follower_fixture fixture;
--- a/Tests/Proxy/fleet_feeds_test.cxx
+++ b/Tests/Proxy/fleet_feeds_test.cxx
@@ -65,6 +65,12 @@
             const std::lock_guard lock(m_mutex);
             m_unresponsiveHosts.insert(host);
         }
+        // Calls for one table get no response, from any host.
+        void makeTableUnresponsive(const std::string& table)
+        {
+            const std::lock_guard lock(m_mutex);
+            m_unresponsiveTables.insert(table);
+        }
         void makeResponsive(unsigned host)
         {
             const std::lock_guard lock(m_mutex);
@@ -73,10 +79,10 @@
         // Sets the time that each response takes, in addition to the wait for changes.
         void setResponseTime(duration time) { m_responseTime = time; }
         duration responseTime() const { return m_responseTime; }
-        bool isUnresponsive(unsigned host)
+        bool isUnresponsive(unsigned host, const std::string& table)
         {
             const std::lock_guard lock(m_mutex);
-            return m_unresponsiveHosts.count(host) > 0;
+            return m_unresponsiveHosts.count(host) > 0 || m_unresponsiveTables.count(table) > 0;
         }
 
     private:
@@ -95,6 +101,7 @@
         std::map<std::pair<std::string, std::string>, stored_row> m_rows;
         std::map<unsigned, unsigned> m_calls;
         std::set<unsigned> m_unresponsiveHosts;
+        std::set<std::string> m_unresponsiveTables;
         std::atomic<duration> m_responseTime { duration::zero() };
         std::uint64_t m_version = 0;
     };
@@ -108,10 +115,10 @@
         store_response readChanges(const std::string& table, std::uint64_t after, duration wait)
         {
             rows->countCall(host);
-            if (!rows->isUnresponsive(host)) {
+            if (!rows->isUnresponsive(host, table)) {
                 store_response response = rows->read(table, after, wait);
                 std::this_thread::sleep_for(rows->responseTime());
-                if (!rows->isUnresponsive(host))
+                if (!rows->isUnresponsive(host, table))
                     return response;
             }
             std::this_thread::sleep_for(callTimeout);
@@ -190,17 +197,21 @@
                 addHost();
         }
 
-        void addHost()
+        void addHost(const std::string& dataCentre = "z1")
         {
             const auto index = static_cast<unsigned>(m_hosts.size());
-            proxy_settings settings;
-            settings.hostName = absl::StrCat("h", index);
-            settings.dataCentre = "z1";
-            settings.peerAddress = localAddress(index);
-            settings.seed = index + 1;
-            m_hosts.push_back(std::make_unique<test_host>(settings, rows, index));
+            m_hosts.push_back(std::make_unique<test_host>(settingsOf(index, dataCentre), rows, index));
+        }
+
+        // Ends a host of data centre z1 and starts it again at its address.
+        void restartHost(unsigned index)
+        {
+            m_hosts[index].reset();
+            m_hosts[index] = std::make_unique<test_host>(settingsOf(index, "z1"), rows, index);
         }
 
+        test_host& host(unsigned index) { return *m_hosts[index]; }
+
         template <typename Condition>
         bool allReach(Condition condition)
         {
@@ -246,6 +257,16 @@
         std::shared_ptr<shared_rows> rows = std::make_shared<shared_rows>();
 
     private:
+        static proxy_settings settingsOf(unsigned index, const std::string& dataCentre)
+        {
+            proxy_settings settings;
+            settings.hostName = absl::StrCat("h", index);
+            settings.dataCentre = dataCentre;
+            settings.peerAddress = localAddress(index);
+            settings.seed = index + 1;
+            return settings;
+        }
+
         template <typename Condition>
         static bool waitFor(Condition condition)
         {
@@ -355,6 +376,52 @@
     CHECK(presentInstant() - changedAt < configBound);
 }
 
+// Guards against a configuration that is not read because the membership, a table that no request needs, is not answered.
+TEST_CASE("a change is in force within 2.5 s although the store does not answer for the membership", "[feeds]")
+{
+    constexpr duration configBound = 2500ms;
+    test_fleet fleet(3);
+    REQUIRE(fleet.allReach([](test_host& it) { return it.configVersion() == 1 && it.usesUpstream("u0"); }));
+    REQUIRE(fleet.waitForSingleReader());
+    fleet.rows->makeTableUnresponsive("roster");
+    fleet.rows->write("plans", "plan", "2");
+    const instant changedAt = presentInstant();
+    REQUIRE(fleet.allReach([](test_host& it) { return it.configVersion() == 2; }));
+    CHECK(presentInstant() - changedAt < configBound);
+}
+
+// Guards against a data centre that the store answers nowhere and that goes on with what it knew, although others know
+// the change.
+TEST_CASE("the hosts of a data centre to which the store does not respond follow another data centre", "[feeds]")
+{
+    constexpr duration configBound = 2500ms;
+    test_fleet fleet(2);
+    fleet.addHost("z2");
+    REQUIRE(fleet.allReach([](test_host& it) { return it.configVersion() == 1 && it.usesUpstream("u0"); }));
+    REQUIRE(fleet.allReach([](test_host& it) { return it.runtime.counters().value(gauge::StoreConfirmationAgeMs) > 0; }));
+    fleet.rows->makeUnresponsive(0);
+    fleet.rows->makeUnresponsive(1);
+    fleet.rows->write("plans", "plan", "2");
+    fleet.rows->write("upstreams", "u0", "leaving");
+    const instant changedAt = presentInstant();
+    REQUIRE(fleet.allReach([](test_host& it) { return it.configVersion() == 2 && !it.usesUpstream("u0"); }));
+    CHECK(presentInstant() - changedAt < configBound);
+    CHECK(fleet.host(0).runtime.counters().value(event::TableRequestsSent) > 0);
+}
+
+// Guards against a host that starts while the store answers nobody and refuses all requests until the store is back,
+// although its neighbours know all tables.
+TEST_CASE("a host that starts while the store responds to nobody gets all tables from its neighbours", "[feeds]")
+{
+    test_fleet fleet(3);
+    REQUIRE(fleet.allReach([](test_host& it) { return it.configVersion() == 1 && it.usesUpstream("u0"); }));
+    REQUIRE(fleet.allReach([](test_host& it) { return it.runtime.withCore([](dispatch_core& core) { return core.knownNeighbours(); }) == 3; }));
+    for (const unsigned host : { 0U, 1U, 2U })
+        fleet.rows->makeUnresponsive(host);
+    fleet.restartHost(1);
+    CHECK(fleet.allReach([](test_host& it) { return it.configVersion() == 1 && it.usesUpstream("u0") && it.runtime.isReady(); }));
+}
+
 TEST_CASE("all hosts learn of an evacuation, also through a neighbour and after a later start", "[feeds][evacuation]")
 {
     test_fleet fleet(3);
