Proxy: Reading the store is a class of its own

Change: store_reader holds the followers, the ledger and the order of the reads; versions by table have one type. No change of behaviour.

--- a/Source/Core/reader_choice.h
+++ b/Source/Core/reader_choice.h
@@ -35,12 +35,15 @@
     { followed_table::Membership, "roster" },
 } };
 
+// Versions of the store, indexed by followed_table.
+using table_versions = std::array<std::uint64_t, followedTableNames.size()>;
+
 // What a reader reports about the store.
 struct store_confirmation {
     // When the store last responded to the reader.
     instant respondedAt = distantPast;
-    // Version of the store at which each table last changed, indexed by followed_table.
-    std::array<std::uint64_t, followedTableNames.size()> lastChangeVersions {};
+    // Version of the store at which each table last changed.
+    table_versions lastChangeVersions {};
 };
 
 struct reader_settings {
--- a/Source/fleet_feeds.h
+++ b/Source/fleet_feeds.h
@@ -11,17 +11,15 @@
 
 #include "Core/error.h"
 #include "Core/reader_choice.h"
-#include "Platform/table_follower.h"
-#include "Platform/version_ledger.h"
 #include "logging.h"
 #include "neighbour_link.h"
 #include "proxy_runtime.h"
+#include "store_reader.h"
 
 #include <absl/strings/str_cat.h>
 #include <atomic>
 #include <condition_variable>
 #include <functional>
-#include <limits>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -55,9 +53,7 @@
         , m_link(link)
         , m_source(std::move(source))
         , m_readerChoice(reader_settings {}, runtime.settings().hostName)
-        , m_configFollower(makeFollower(followed_table::ServingConfig, { .table = m_source.configTable }, [this](const table_update& it) { applyOperatorRows(it); }))
-        , m_upstreamFollower(makeFollower(followed_table::Upstreams, { .table = m_source.upstreamTable, .delayAfterChanges = upstreamReadInterval }, [this](const table_update& it) { m_runtime.applyUpstreams(it, m_source.decodeUpstream); }))
-        , m_membershipFollower(makeFollower(followed_table::Membership, { .table = m_source.membershipTable }, [this](const table_update& it) { applyMembershipRows(it); }))
+        , m_reader(makeFollowers())
         , m_requestSchedule({}, presentInstant(), runtime.seed())
     {
     }
@@ -73,7 +69,7 @@
             { [this](const std::string& host, const auto& confirmation) { recordNeighbourReport(host, confirmation); },
                 [this](const table_reading& it) { applyReading(it); },
                 [this] { return ownConfirmation(); },
-                [this](followed_table table, std::uint64_t knownVersion) { return followerOf(table).fullTable(knownVersion); },
+                [this](followed_table table, std::uint64_t knownVersion) { return m_reader[table].fullTable(knownVersion); },
                 [this](instant now) {
                     updateConfirmationAge(now);
                     requestTables(now);
@@ -111,6 +107,14 @@
     // Time after the first reads within which the neighbours' first reports arrive.
     static constexpr duration initialWait = std::chrono::milliseconds(600);
 
+    typename store_reader<Store>::follower_array makeFollowers()
+    {
+        // Indexed by followed_table.
+        return { makeFollower(followed_table::ServingConfig, { .table = m_source.configTable }, [this](const table_update& it) { applyOperatorRows(it); }),
+            makeFollower(followed_table::Upstreams, { .table = m_source.upstreamTable, .delayAfterChanges = upstreamReadInterval }, [this](const table_update& it) { m_runtime.applyUpstreams(it, m_source.decodeUpstream); }),
+            makeFollower(followed_table::Membership, { .table = m_source.membershipTable }, [this](const table_update& it) { applyMembershipRows(it); }) };
+    }
+
     std::unique_ptr<follower> makeFollower(followed_table table, follower_settings settings, std::function<void(const table_update&)> updated)
     {
         const std::string name = settings.table;
@@ -126,19 +130,6 @@
         return std::make_unique<follower>(m_source.openStore(), std::move(settings), std::move(events), seed);
     }
 
-    follower& followerOf(followed_table table)
-    {
-        switch (table) {
-        case followed_table::ServingConfig:
-            return *m_configFollower;
-        case followed_table::Upstreams:
-            return *m_upstreamFollower;
-        case followed_table::Membership:
-            break;
-        }
-        return *m_membershipFollower;
-    }
-
     void run()
     {
         readAllTables();
@@ -147,14 +138,10 @@
             delay = runOnce();
     }
 
-    // Reads all tables once. The serving configuration and the upstreams are read in
-    // parallel, because clients wait for both.
+    // Reads all tables once, and makes this host known to the others.
     void readAllTables()
     {
-        std::thread configThread([this] { (void)readFromStore(followed_table::ServingConfig, duration::zero()); });
-        (void)readFromStore(followed_table::Upstreams, duration::zero());
-        configThread.join();
-        (void)readFromStore(followed_table::Membership, duration::zero());
+        m_reader.readAtStart();
         if (m_mustWriteOwnEntry)
             writeOwnEntry();
         // Hosts that join at the same time may miss each other's entries. The reader finds
@@ -162,23 +149,9 @@
         withReaderChoice([](reader_choice& it) { it.setFirstReadAt(presentInstant() + initialWait); });
     }
 
-    // Reads what is new in a table. Logs reads that brought changes, that failed or that this host made while it had no
-    // fresh confirmation of its own; a reader's other reads are too many to log.
-    follower_step readFromStore(followed_table table, duration maxWait)
-    {
-        const instant startedAt = presentInstant();
-        const bool isConfirmed = ownConfirmation().has_value();
-        const follower_step step = followerOf(table).step(maxWait);
-        if (step.hasUpdates || !step.succeeded || !isConfirmed) {
-            logInfo(absl::StrCat("event=store-read table=", std::string(nameIn(followedTableNames, table)), " end=", step.succeeded ? "done" : "failed",
-                " changes=", step.hasUpdates ? "yes" : "no", " version=", followerOf(table).version(), " wait_ms=", wholeMilliseconds(maxWait), " took_ms=", wholeMilliseconds(presentInstant() - startedAt)));
-        }
-        return step;
-    }
-
     void applyReading(const table_reading& reading)
     {
-        if (!followerOf(reading.table).applyNeighbourUpdate(reading.update))
+        if (!m_reader[reading.table].applyNeighbourUpdate(reading.update))
             return;
         logInfo(absl::StrCat("event=table-relayed table=", std::string(nameIn(followedTableNames, reading.table)), " full=", reading.update.isFullTable ? "yes" : "no",
             " after=", reading.update.after, " version=", reading.update.version));
@@ -189,13 +162,9 @@
     // Asks other hosts for tables that neither the store nor a neighbour that reads it provides.
     void requestTables(instant now)
     {
-        table_request_schedule::knowledge known { false, m_lastConfirmedAt, m_runtime.withCore([](dispatch_core& it) { return it.knownNeighbours(); }) };
-        neighbour_link::table_versions versions {};
-        for (const auto& [table, name] : followedTableNames) {
-            const bool isLacking = followerOf(table).lacksTable();
-            known.lacksTable = known.lacksTable || isLacking;
-            versions[static_cast<std::size_t>(table)] = isLacking ? 0 : followerOf(table).version();
-        }
+        const table_versions versions = m_reader.knownVersions();
+        const bool lacksTable = std::count(versions.begin(), versions.end(), std::uint64_t { 0 }) > 0;
+        const table_request_schedule::knowledge known { lacksTable, m_lastConfirmedAt, m_runtime.withCore([](dispatch_core& it) { return it.knownNeighbours(); }) };
         const table_source source = m_requestSchedule.next(known, now);
         if (source == table_source::None)
             return;
@@ -265,21 +234,12 @@
         logInfo(absl::StrCat("event=reader reads=", isReader ? "yes" : "no", " neighbour_confirmed_ms_ago=", age));
     }
 
-    // Result of reading all tables.
-    struct store_reading {
-        bool succeeded = false;
-        // When the store responded with the version up to which all tables are known.
-        instant respondedAt = distantPast;
-        // Time to wait before the next read.
-        duration delay {};
-    };
-
     // Reads the store as the reader of this data centre. Returns the time to wait before the
     // next read.
     duration readStore(bool hasOtherReader)
     {
         const duration wait = withReaderChoice([this](reader_choice& it) { return it.allowedWait(m_readDelay, presentInstant()); });
-        const store_reading reading = wait > duration::zero() ? pollTables(wait) : readTablesInTurn();
+        const store_reading reading = wait > duration::zero() ? m_reader.poll(wait) : m_reader.readInTurn();
         m_readDelay = reading.delay;
         if (!reading.succeeded) {
             withReaderChoice([](reader_choice& it) { it.recordOwnFailure(); });
@@ -291,53 +251,6 @@
         return reading.delay;
     }
 
-    // Waits for changes of the upstreams. Reads the other tables if the store's version shows
-    // that rows other than those already read may have changed.
-    store_reading pollTables(duration wait)
-    {
-        const follower_step upstreams = readFromStore(followed_table::Upstreams, wait);
-        const instant respondedAt = presentInstant();
-        m_ledger.recordVersions(upstreams.versions);
-        if (!upstreams.succeeded)
-            return { false, respondedAt, upstreams.delay };
-        const std::uint64_t version = m_upstreamFollower->version();
-        for (const followed_table table : { followed_table::ServingConfig, followed_table::Membership }) {
-            if (m_ledger.isCompleteUpTo(version) || followerOf(table).version() >= version)
-                continue;
-            const follower_step step = readFromStore(table, duration::zero());
-            if (!step.succeeded)
-                return { false, respondedAt, step.delay };
-            m_ledger.recordVersions(step.versions);
-        }
-        m_ledger.markCompleteUpTo(version);
-        return { true, respondedAt, upstreams.delay };
-    }
-
-    // Reads all tables without a wait. After a failure the next call begins with the table
-    // behind the one that failed, so that a table without response does not hold up the others.
-    store_reading readTablesInTurn()
-    {
-        constexpr std::size_t tableCount = followedTableNames.size();
-        instant respondedAt = distantPast;
-        std::uint64_t version = std::numeric_limits<std::uint64_t>::max();
-        for (std::size_t index = 0; index < tableCount; ++index) {
-            const std::size_t position = (m_firstTable + index) % tableCount;
-            const auto table = static_cast<followed_table>(position);
-            const follower_step step = readFromStore(table, duration::zero());
-            if (!step.succeeded) {
-                m_firstTable = (position + 1) % tableCount;
-                return { false, distantPast, step.delay };
-            }
-            if (index == 0)
-                respondedAt = presentInstant();
-            m_ledger.recordVersions(step.versions);
-            version = std::min(version, followerOf(table).version());
-        }
-        m_firstTable = 0;
-        m_ledger.markCompleteUpTo(version);
-        return { true, respondedAt, duration::zero() };
-    }
-
     // Gets the tables whose latest changes a neighbour knows and this host does not. After
     // relayTimeout without these changes it asks that neighbour for the tables, and after
     // another relayTimeout it reads the store. Returns the time to wait before the next
@@ -347,7 +260,7 @@
         const instant now = presentInstant();
         std::vector<followed_table> behind;
         for (const auto& [table, name] : followedTableNames) {
-            if (followerOf(table).isBehind(neighbour.confirmation.lastChangeVersions[static_cast<std::size_t>(table)]))
+            if (m_reader[table].isBehind(neighbour.confirmation.lastChangeVersions[static_cast<std::size_t>(table)]))
                 behind.push_back(table);
         }
         if (behind.empty()) {
@@ -367,7 +280,7 @@
         m_catchUp = {};
         duration delay {};
         for (const followed_table table : behind)
-            delay = std::max(delay, readFromStore(table, duration::zero()).delay);
+            delay = std::max(delay, m_reader.read(table, duration::zero()).delay);
         return delay;
     }
 
@@ -394,7 +307,7 @@
         const auto confirmedAt = withReaderChoice([](reader_choice& it) { return it.ownConfirmation(presentInstant()); });
         if (m_runtime.phase() != stop_phase::Running || !confirmedAt)
             return std::nullopt;
-        return store_confirmation { *confirmedAt, { m_configFollower->lastChangedVersion(), m_upstreamFollower->lastChangedVersion(), m_membershipFollower->lastChangedVersion() } };
+        return store_confirmation { *confirmedAt, m_reader.lastChangedVersions() };
     }
 
     template <typename Function>
@@ -475,10 +388,8 @@
     feed_source<Store> m_source;
     std::mutex m_readerChoiceMutex;
     reader_choice m_readerChoice;
-    std::unique_ptr<follower> m_configFollower;
-    std::unique_ptr<follower> m_upstreamFollower;
-    std::unique_ptr<follower> m_membershipFollower;
-    // Guarded by the mutex of m_membershipFollower, which is held during its events.
+    store_reader<Store> m_reader;
+    // Guarded by the mutex of the membership's follower, which is held during its events.
     fleet_membership m_membership;
     std::atomic<bool> m_mustWriteOwnEntry { false };
     // How far this host got with changes that it lacks and a neighbour knows.
@@ -488,12 +399,9 @@
         bool hasAskedNeighbour = false;
     };
 
-    // Only m_thread uses the following six members.
-    version_ledger m_ledger;
+    // Only m_thread uses the following four members.
     bool m_isReader = false;
     duration m_readDelay {};
-    // The table with which readTablesInTurn() begins.
-    std::size_t m_firstTable = 0;
     instant m_retryAt = distantPast;
     catch_up m_catchUp;
     // Only the link's thread uses these three.
--- a/Source/neighbour_link.h
+++ b/Source/neighbour_link.h
@@ -20,7 +20,6 @@
 #include "proxy_runtime.h"
 
 #include <Poco/Net/DatagramSocket.h>
-#include <array>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -77,7 +76,6 @@
 
     // Asks one random host of this data centre, or of another one, for those tables that changed after the given
     // versions of the store, indexed by followed_table. Returns false if no such host is known.
-    using table_versions = std::array<std::uint64_t, followedTableNames.size()>;
     bool requestTables(table_source, const table_versions&);
 
     // Records that there is an update to report. Sends the report immediately if the update
