Core: Hosts that start together wait until the first one's reads can have ended

Cause: a host waited 0.5 s for the first read of a neighbour that ranks before it, plus 50 ms, but that neighbour confirms its read only after three calls. The model of the tests had calls that take no time, which hid it as it hid the incident. Change: startSpread is the lateness of the first confirmation, 0.75 s. It counts only before any confirmation was heard; a change at the start is known after 0.6 + 0.75 + 0.25 + 0.14 = 1.74 s by calculation (2.5 s allowed).

--- a/Source/Core/reader_choice.h
+++ b/Source/Core/reader_choice.h
@@ -58,9 +58,10 @@
     // A neighbour that sent no report for this long counts as unreachable, and no
     // host waits for it to take over.
     duration neighbourTimeout = std::chrono::milliseconds(1500);
-    // How much later than this host a neighbour may be with its first reads if they start together. Before its first
-    // confirmation a neighbour that ranks before this host is waited for that long.
-    duration startSpread = std::chrono::milliseconds(500);
+    // How much later than this host's first read a neighbour's first confirmation may be if they start together: the
+    // neighbour may start half a second later, and its calls take time. Before its first confirmation a neighbour that
+    // ranks before this host is waited for that long.
+    duration startSpread = std::chrono::milliseconds(750);
 };
 
 class reader_choice {
--- a/Tests/Core/reader_choice_test.cxx
+++ b/Tests/Core/reader_choice_test.cxx
@@ -244,6 +244,24 @@
     }
 }
 
+// Guards against the same where the calls of the host that ranks first take longer than the others wait for each other.
+TEST_CASE("pattern: hosts that start together choose one reader although its first calls take a while", "[reader]")
+{
+    constexpr unsigned hosts = 8;
+    constexpr duration initialWait = 600ms;
+    for (unsigned late = 0; late < hosts; ++late) {
+        for (const duration delay : { 0ms, 60ms, 300ms, 480ms }) {
+            INFO("host " << late << " is late by " << delay / 1ms << " ms");
+            reading_fleet fleet(hosts);
+            fleet.setRoundTrip(50ms);
+            for (unsigned host = 0; host < hosts; ++host)
+                fleet.setFirstReadAt(host, begin + initialWait + (host == late ? delay : 0ms));
+            fleet.run(3s);
+            CHECK(fleet.readerCount() == 1);
+        }
+    }
+}
+
 // Guards against hosts that wait at their start for a neighbour that never reads.
 TEST_CASE("another host reads soon if the one that ranks first cannot at its start", "[reader]")
 {
