--- a/Source/store_reader.h
+++ b/Source/store_reader.h
@@ -48,7 +48,7 @@
     follower_step read(followed_table table, duration maxWait)
     {
         const instant startedAt = presentInstant();
-        const follower_step step = (*this)[table].step(maxWait);
+        follower_step step = (*this)[table].step(maxWait);
         if (step.hasUpdates || !step.succeeded || maxWait == duration::zero()) {
             logInfo(absl::StrCat("event=store-read table=", std::string(nameIn(followedTableNames, table)), " end=", step.succeeded ? "done" : "failed", " changes=", step.hasUpdates ? "yes" : "no",
                 " version=", (*this)[table].version(), " wait_ms=", wholeMilliseconds(maxWait), " took_ms=", wholeMilliseconds(presentInstant() - startedAt)));
