Show that malformed entries of another writer are used as endpoints

Case 10, rule ROUTE: entries of the table of the endpoints without version or sequence, or with other types of them, are taken, so orders run at an endpoint of another service; an entry with a later birth shuts the endpoint's own entries out for good.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in crash_case part_case; do
+for name in crash_case part_case entry_case; do
     g++ -std=c++20 -O2 -pthread -o "target/review-2/$name" "review/stand_ins_2/$name.cxx" review/stand_ins_2/{http_wire,platform,endpoint}.cxx
 done
--- a/review/stand_ins_2/endpoint.h
+++ b/review/stand_ins_2/endpoint.h
@@ -38,6 +38,9 @@
 
     const std::string& id() const { return m_id; }
     const std::string& service() const { return m_service; }
+    std::uint16_t port() const { return m_port; }
+    // Returns the Unix millisecond of its last start.
+    std::uint64_t born() const { return m_born; }
 
 private:
     void run();
@@ -54,7 +57,7 @@
     std::string m_id;
     run_handler m_handler;
     std::uint16_t m_port = 0;
-    std::uint64_t m_born = 0;
+    std::atomic<std::uint64_t> m_born { 0 };
     std::uint64_t m_sequence = 0;
     std::atomic<bool> m_isUp { true };
     std::atomic<bool> m_isStopping { false };
