--- a/review/stand_ins_2/crash_case.cxx
+++ b/review/stand_ins_2/crash_case.cxx
@@ -1,4 +1,4 @@
-// Cases 6, 7 and 9: a request that crashes the endpoints that run it comes again and again. Rule BUDGET bounds how often it
+// Cases 8 to 10: a request that crashes the endpoints that run it comes again and again. Rule BUDGET bounds how often it
 // may reach endpoints later than contact_ms after it has crashed the third.
 //
 //   crash_case large|answering|restarts RECORD
--- a/review/stand_ins_2/entry_case.cxx
+++ b/review/stand_ins_2/entry_case.cxx
@@ -1,4 +1,4 @@
-// Case 10: another writer puts entries into the table 'servers' in which a field is missing or of another type. Such an entry
+// Case 6: another writer puts entries into the table 'servers' in which a field is missing or of another type. Such an entry
 // names no endpoint to use. It stands under the id of an endpoint of pay-desk and says pole-desk. Rule ROUTE.
 //
 //   entry_case RECORD
--- a/review/stand_ins_2/part_case.cxx
+++ b/review/stand_ins_2/part_case.cxx
@@ -1,4 +1,4 @@
-// Case 8: the operator keeps a draft of its next manifest in another part of its table, under the same key. The names
+// Case 7: the operator keeps a draft of its next manifest in another part of its table, under the same key. The names
 // op/NAME refer to rows with an empty part, so the draft is in force nowhere. Rules ROUTE and CONFIG.
 //
 //   part_case RECORD
