--- a/review/stand_ins_2/http_wire.cxx
+++ b/review/stand_ins_2/http_wire.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cctype>
 #include <cstdlib>
 #include <netinet/in.h>
@@ -201,11 +202,19 @@
 
 std::uint16_t freePort()
 {
-    std::uint16_t port = 0;
-    const int descriptor = listenOn(port);
-    if (descriptor >= 0)
+    // Outgoing connections take their ports from higher numbers.
+    constexpr unsigned firstPort = 20'000;
+    constexpr unsigned portCount = 12'000;
+    static std::atomic<unsigned> next { static_cast<unsigned>(::getpid()) * 41 };
+    for (unsigned attempt = 0; attempt < portCount; ++attempt) {
+        auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+        const int descriptor = listenOn(port);
+        if (descriptor < 0)
+            continue;
         ::close(descriptor);
-    return port;
+        return port;
+    }
+    return 0;
 }
 
 int acceptWithin(int listener, int milliseconds)
--- a/review/stand_ins_2/http_wire.h
+++ b/review/stand_ins_2/http_wire.h
@@ -62,7 +62,7 @@
 // Opens a listening socket on 127.0.0.1. A port of 0 chooses a free one, which is stored there. Returns -1 after a failure.
 int listenOn(std::uint16_t& port);
 
-// Returns a port that was free a moment ago.
+// Returns a port that was free a moment ago, or 0 if there is none.
 std::uint16_t freePort();
 
 // Accepts a connection within the time. Returns -1 if there was none.
