Core: Hosts tell quarantines again as long as they stand

Cause: a quarantine was told once, when it began, in one datagram to the neighbours and in one to a host of each other data centre. A host that was not there at that moment never learned of it. Ruled out: another fingerprint after the restart (the host refuses the request after its own two crashes), a neighbour that does not know the restarted host (its other reports arrive).

Change: fleet_quarantine tells all quarantines again, with the age of the last crash, every 0.5 s at least; the hosts of a large data centre share the work. What is told again prolongs nothing: a time within 10 s of the known one is the same crash, and ended quarantines are remembered for another 60 s.

--- a/Source/Core/dispatch_core.cxx
+++ b/Source/Core/dispatch_core.cxx
@@ -44,7 +44,7 @@
     , m_quota(settings.quota)
     , m_lending(lending_settings {}, m_host)
     , m_budget(budgetFor(settings, 1))
-    , m_quarantine(settings.quarantine)
+    , m_quarantine(settings.quarantine, seed)
     , m_random(seed)
 {
 }
@@ -190,7 +190,7 @@
     const double relativeLatency = m_choice.relativeLatency(report.upstream, report.route, report.latency);
     const report_audience audience = m_choice.finish(report.upstream, report.result, report.latency, now, report.route);
     if (report.result == attempt_result::Crashed)
-        recordCrash(report.fingerprint, report.upstream, now);
+        m_quarantine.recordCrash(report.fingerprint, report.upstream, now);
     if (audience == report_audience::Nobody)
         return;
     const neighbour_sample sample { report.upstream, report.result, report.latency, report.result == attempt_result::Crashed ? report.fingerprint : 0, relativeLatency };
@@ -205,34 +205,13 @@
         m_leaving.push_back(incarnation);
 }
 
-void dispatch_core::recordCrash(std::uint64_t fingerprint, const std::string& upstream, instant now)
-{
-    crash_row& it = m_crashes[fingerprint];
-    it.lastCrashAt = now;
-    if (!it.upstreams.insert(upstream).second)
-        return;
-    const bool wasQuarantined = m_quarantine.isQuarantined(fingerprint, now);
-    m_quarantine.recordCrash(fingerprint, now);
-    if (!wasQuarantined && m_quarantine.isQuarantined(fingerprint, now))
-        m_peerReport.quarantined.push_back(fingerprint);
-}
-
-void dispatch_core::quarantine(std::uint64_t fingerprint, instant now)
-{
-    while (!m_quarantine.isQuarantined(fingerprint, now))
-        m_quarantine.recordCrash(fingerprint, now);
-}
-
-void dispatch_core::recordPeerReport(const peer_report& report, instant now)
+bool dispatch_core::recordPeerReport(const peer_report& report, instant now)
 {
     for (const neighbour_sample& sample : report.failures) {
         m_choice.recordRemoteResult(sample.upstream, sample.result, sample.latency, now, sample.relativeLatency);
         m_samples.push_back(sample);
     }
-    for (const std::uint64_t fingerprint : report.quarantined) {
-        quarantine(fingerprint, now);
-        m_quarantinedElsewhere.push_back(fingerprint);
-    }
+    m_quarantine.recordFromDataCentre(report.quarantined, now);
     for (const std::string& upstream : report.idleUpstreams) {
         m_choice.requestTrial(upstream, now);
         m_idleElsewhere.push_back(upstream);
@@ -241,6 +220,7 @@
         m_choice.cold().recordRemoteSuspicion(upstream, now);
         m_suspectedElsewhere.push_back(upstream);
     }
+    return m_quarantine.hasNews() || !report.failures.empty() || !report.idleUpstreams.empty() || !report.suspectedUpstreams.empty();
 }
 
 std::vector<idle_upstream> dispatch_core::takeIdleUpstreams(instant now)
@@ -284,7 +264,7 @@
     }
     report.samples = std::move(m_samples);
     m_samples.clear();
-    report.quarantined = std::exchange(m_quarantinedElsewhere, {});
+    report.quarantined = m_quarantine.takeForNeighbours(m_reachable, now);
     report.idleUpstreams = std::exchange(m_idleElsewhere, {});
     report.leavingUpstreams = std::exchange(m_leaving, {});
     cold_news news = m_choice.cold().takeNews();
@@ -296,6 +276,13 @@
     return report;
 }
 
+dispatch_core::peer_report dispatch_core::takePeerReport()
+{
+    peer_report report = std::exchange(m_peerReport, {});
+    report.quarantined = m_quarantine.takeForDataCentres();
+    return report;
+}
+
 void dispatch_core::recordReport(const neighbour_report& report, instant now)
 {
     const auto [place, isNewHost] = m_neighbours.try_emplace(report.host);
@@ -336,7 +323,7 @@
     for (const neighbour_sample& sample : report.samples) {
         m_choice.recordRemoteResult(sample.upstream, sample.result, sample.latency, now, sample.relativeLatency);
         if (sample.result == attempt_result::Crashed) {
-            recordCrash(sample.fingerprint, sample.upstream, now);
+            m_quarantine.recordCrash(sample.fingerprint, sample.upstream, now);
             m_choice.cold().recordRemoteFailure(sample.upstream, report.host, false, now);
         }
     }
@@ -344,8 +331,7 @@
         m_choice.cold().recordRemoteFailure(upstream, report.host, true, now);
     for (const std::string& upstream : report.suspectedUpstreams)
         m_choice.cold().recordRemoteSuspicion(upstream, now);
-    for (const std::uint64_t fingerprint : report.quarantined)
-        quarantine(fingerprint, now);
+    m_quarantine.recordFromNeighbour(report.quarantined, now);
     tick(now);
 }
 
@@ -372,7 +358,6 @@
     m_quarantine.tick(now);
     m_choice.expireAnnouncements(now);
     m_choice.cold().expire(now);
-    std::erase_if(m_crashes, [&](const auto& it) { return now - it.second.lastCrashAt > m_settings.crashTtl; });
 }
 
 } // namespace almondmoor
--- a/Source/Core/dispatch_core.h
+++ b/Source/Core/dispatch_core.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "Core/crash_quarantine.h"
 #include "Core/evacuation_orders.h"
+#include "Core/fleet_quarantine.h"
 #include "Core/neighbour_report.h"
 #include "Core/priority_admission.h"
 #include "Core/retry_budget.h"
@@ -32,13 +32,11 @@
     admission_settings admission;
     quota_settings quota;
     cold_settings cold;
-    crash_quarantine_settings quarantine { 2, std::chrono::seconds(60) };
+    fleet_quarantine_settings quarantine;
     // Retries allowed per first attempt, over the whole fleet.
     double retryRatio = 0.1;
     // Retries beyond the ratio that the whole fleet may make in a window.
     double retrySlack = 10;
-    // Time for which a crash counts against the request that caused it.
-    duration crashTtl = std::chrono::seconds(30);
 };
 
 // The result of one finished attempt at an upstream.
@@ -152,6 +150,10 @@
     void finishAttempt(const attempt_report&, instant now);
     bool isQuarantined(std::uint64_t fingerprint, instant now) const { return m_quarantine.isQuarantined(fingerprint, now); }
 
+    // Returns the quarantines that began since the last call, and the number of those that stand.
+    std::vector<quarantine_change> takeQuarantineChanges() { return m_quarantine.takeChanges(); }
+    std::size_t quarantinedRequests(instant now) const { return m_quarantine.quarantinedCount(now); }
+
     // Returns the next report to the neighbours and clears what it collected.
     neighbour_report takeReport(instant now);
 
@@ -164,8 +166,7 @@
     // ones get the idle upstreams.
     struct peer_report {
         std::vector<neighbour_sample> failures;
-        // Fingerprints of quarantined requests.
-        std::vector<std::uint64_t> quarantined;
+        std::vector<quarantined_request> quarantined;
         // Upstreams that need requests from another data centre.
         std::vector<std::string> idleUpstreams;
         // Upstreams that several hosts could not reach.
@@ -175,11 +176,11 @@
     };
 
     // Returns what was collected for other data centres since the last call. takeReport() adds to it.
-    peer_report takePeerReport() { return std::exchange(m_peerReport, {}); }
+    peer_report takePeerReport();
 
-    // Applies a report from another data centre and forwards its content to the
-    // neighbours with the next report.
-    void recordPeerReport(const peer_report&, instant now);
+    // Applies a report from another data centre and forwards what is new to the
+    // neighbours with the next report. Returns whether there is anything to forward.
+    bool recordPeerReport(const peer_report&, instant now);
 
     // Counts the reachable neighbours and removes expired crashes and quarantines.
     void tick(instant now);
@@ -212,18 +213,12 @@
         admitted_count count;
         instant changedAt = distantPast;
     };
-    struct crash_row {
-        std::set<std::string> upstreams;
-        instant lastCrashAt = distantPast;
-    };
 
     // Returns the neighbours that sent a report recently.
     std::vector<std::string> reachableNeighbourNames(instant now) const;
     // Decides whether a request of the query's priority may be sent.
     admission_verdict decideAdmission(const choice_query&, bool isRetry, instant now);
     void recordMovedTokens(neighbour_row&, const neighbour_report&, bool isFirstReport, instant now);
-    void recordCrash(std::uint64_t fingerprint, const std::string& upstream, instant now);
-    void quarantine(std::uint64_t fingerprint, instant now);
 
     dispatch_settings m_settings;
     std::string m_host;
@@ -236,7 +231,7 @@
     team_quota m_quota;
     token_lending m_lending;
     retry_budget m_budget;
-    crash_quarantine m_quarantine;
+    fleet_quarantine m_quarantine;
     std::mt19937_64 m_random;
     // Member hosts of this data centre, and how many of them are reachable. Both
     // counts include this host.
@@ -245,11 +240,7 @@
     std::map<std::string, neighbour_row> m_neighbours;
     // The members that the platform knows.
     host_map m_members;
-    // Recent crashes by the fingerprint of the request.
-    std::map<std::uint64_t, crash_row> m_crashes;
     peer_report m_peerReport;
-    // Fingerprints from other data centres, to be forwarded to the neighbours.
-    std::vector<std::uint64_t> m_quarantinedElsewhere;
     // Idle upstreams of other data centres, to be forwarded to the neighbours.
     std::vector<std::string> m_idleElsewhere;
     // Upstreams that hosts of other data centres could not reach, to be forwarded to the neighbours.
--- a/Source/Core/neighbour_report.h
+++ b/Source/Core/neighbour_report.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "Core/crash_quarantine.h"
 #include "Core/reader_choice.h"
 #include "Core/service_losses.h"
 #include "Core/upstream_announcements.h"
@@ -85,8 +86,8 @@
     std::vector<std::string> unreachableUpstreams;
     // Upstreams that several hosts could not reach, which are therefore suspected to be cold.
     std::vector<std::string> suspectedUpstreams;
-    // Fingerprints of requests that no host should dispatch any more.
-    std::vector<std::uint64_t> quarantined;
+    // Requests that no host should dispatch, since they crashed upstreams.
+    std::vector<quarantined_request> quarantined;
     // Set by hosts that read the store for the others.
     std::optional<store_confirmation> confirmation;
 };
--- a/Source/Generated/neighbour.pb.cxx
+++ b/Source/Generated/neighbour.pb.cxx
@@ -124,6 +124,8 @@
   , /*decltype(_impl_.wanted_)*/{}
   , /*decltype(_impl_.leaving_)*/{}
   , /*decltype(_impl_.moved_)*/{}
+  , /*decltype(_impl_.quarantined_age_ms_)*/{}
+  , /*decltype(_impl_._quarantined_age_ms_cached_byte_size_)*/{0}
   , /*decltype(_impl_.unreachable_)*/{}
   , /*decltype(_impl_.suspected_)*/{}
   , /*decltype(_impl_.outcomes_)*/{}
@@ -363,6 +365,7 @@
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.wanted_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.leaving_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.moved_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.quarantined_age_ms_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.unreachable_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.suspected_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::NeighbourReport, _impl_.outcomes_),
@@ -461,15 +464,15 @@
   { 36, -1, -1, sizeof(::almondmoor::wire::MovedTokens)},
   { 47, -1, -1, sizeof(::almondmoor::wire::ServiceOutcomes)},
   { 56, -1, -1, sizeof(::almondmoor::wire::NeighbourReport)},
-  { 79, -1, -1, sizeof(::almondmoor::wire::Confirmation)},
-  { 87, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
-  { 97, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
-  { 104, -1, -1, sizeof(::almondmoor::wire::TableReading)},
-  { 117, -1, -1, sizeof(::almondmoor::wire::TableRequest)},
-  { 126, -1, -1, sizeof(::almondmoor::wire::TokenRequest)},
-  { 136, -1, -1, sizeof(::almondmoor::wire::TokenGrant)},
-  { 145, -1, -1, sizeof(::almondmoor::wire::Datagram)},
-  { 157, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
+  { 80, -1, -1, sizeof(::almondmoor::wire::Confirmation)},
+  { 88, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
+  { 98, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
+  { 105, -1, -1, sizeof(::almondmoor::wire::TableReading)},
+  { 118, -1, -1, sizeof(::almondmoor::wire::TableRequest)},
+  { 127, -1, -1, sizeof(::almondmoor::wire::TokenRequest)},
+  { 137, -1, -1, sizeof(::almondmoor::wire::TokenGrant)},
+  { 146, -1, -1, sizeof(::almondmoor::wire::Datagram)},
+  { 158, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -504,7 +507,7 @@
   "\002 \001(\001\022\020\n\010borrowed\030\003 \001(\001\022\023\n\013lent_before\030\004"
   " \001(\001\022\027\n\017borrowed_before\030\005 \001(\001\"F\n\017Service"
   "Outcomes\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 "
-  "\001(\r\022\020\n\010unserved\030\003 \001(\r\"\242\004\n\017NeighbourRepor"
+  "\001(\r\022\020\n\010unserved\030\003 \001(\r\"\276\004\n\017NeighbourRepor"
   "t\022\014\n\004host\030\001 \001(\t\022\023\n\013data_centre\030\002 \001(\t\022\017\n\007"
   "address\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\004\022\020\n\010se"
   "quence\030\005 \001(\004\022,\n\tin_flight\030\006 \003(\0132\031.almond"
@@ -515,36 +518,37 @@
   "ondmoor.wire.Confirmation\022\017\n\007started\030\013 \003"
   "(\t\022\016\n\006wanted\030\014 \003(\t\0225\n\007leaving\030\r \003(\0132$.al"
   "mondmoor.wire.UpstreamIncarnation\022+\n\005mov"
-  "ed\030\016 \003(\0132\034.almondmoor.wire.MovedTokens\022\023"
-  "\n\013unreachable\030\031 \003(\t\022\021\n\tsuspected\030\032 \003(\t\0222"
-  "\n\010outcomes\030( \003(\0132 .almondmoor.wire.Servi"
-  "ceOutcomes\"2\n\014Confirmation\022\016\n\006age_ms\030\001 \001"
-  "(\r\022\022\n\nchanged_at\030\002 \003(\004\"L\n\tStoredRow\022\013\n\003k"
-  "ey\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\017\n\007version\030\003 \001(\004"
-  "\022\022\n\nis_removed\030\004 \001(\010\"6\n\nStoredRows\022(\n\004ro"
-  "ws\030\001 \003(\0132\032.almondmoor.wire.StoredRow\"\227\001\n"
-  "\014TableReading\022\r\n\005table\030\001 \001(\r\022\020\n\010was_away"
-  "\030\002 \001(\010\022\r\n\005after\030\003 \001(\004\022\017\n\007version\030\004 \001(\004\022\023"
-  "\n\013packed_rows\030\005 \001(\014\022\025\n\ris_full_table\030\006 \001"
-  "(\010\022\032\n\022is_for_data_centre\030\007 \001(\010\"E\n\014TableR"
-  "equest\022\r\n\005table\030\001 \001(\r\022\017\n\007address\030\002 \001(\t\022\025"
-  "\n\rknown_version\030\003 \001(\004\"M\n\014TokenRequest\022\014\n"
-  "\004team\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\001\022\016\n\006number\030\003 "
-  "\001(\004\022\017\n\007address\030\004 \001(\t\":\n\nTokenGrant\022\014\n\004te"
-  "am\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\001\022\016\n\006number\030\003 \001(\004"
-  "\"\231\002\n\010Datagram\0222\n\006report\030\001 \001(\0132 .almondmo"
-  "or.wire.NeighbourReportH\000\0220\n\007reading\030\002 \001"
-  "(\0132\035.almondmoor.wire.TableReadingH\000\0220\n\007r"
-  "equest\030\003 \001(\0132\035.almondmoor.wire.TableRequ"
-  "estH\000\0226\n\rtoken_request\030\004 \001(\0132\035.almondmoo"
-  "r.wire.TokenRequestH\000\0222\n\013token_grant\030\005 \001"
-  "(\0132\033.almondmoor.wire.TokenGrantH\000B\t\n\007con"
-  "tent\"3\n\013RosterEntry\022\017\n\007address\030\001 \001(\t\022\023\n\013"
-  "data_centre\030\002 \001(\tb\006proto3"
+  "ed\030\016 \003(\0132\034.almondmoor.wire.MovedTokens\022\032"
+  "\n\022quarantined_age_ms\030\017 \003(\r\022\023\n\013unreachabl"
+  "e\030\031 \003(\t\022\021\n\tsuspected\030\032 \003(\t\0222\n\010outcomes\030("
+  " \003(\0132 .almondmoor.wire.ServiceOutcomes\"2"
+  "\n\014Confirmation\022\016\n\006age_ms\030\001 \001(\r\022\022\n\nchange"
+  "d_at\030\002 \003(\004\"L\n\tStoredRow\022\013\n\003key\030\001 \001(\t\022\r\n\005"
+  "value\030\002 \001(\014\022\017\n\007version\030\003 \001(\004\022\022\n\nis_remov"
+  "ed\030\004 \001(\010\"6\n\nStoredRows\022(\n\004rows\030\001 \003(\0132\032.a"
+  "lmondmoor.wire.StoredRow\"\227\001\n\014TableReadin"
+  "g\022\r\n\005table\030\001 \001(\r\022\020\n\010was_away\030\002 \001(\010\022\r\n\005af"
+  "ter\030\003 \001(\004\022\017\n\007version\030\004 \001(\004\022\023\n\013packed_row"
+  "s\030\005 \001(\014\022\025\n\ris_full_table\030\006 \001(\010\022\032\n\022is_for"
+  "_data_centre\030\007 \001(\010\"E\n\014TableRequest\022\r\n\005ta"
+  "ble\030\001 \001(\r\022\017\n\007address\030\002 \001(\t\022\025\n\rknown_vers"
+  "ion\030\003 \001(\004\"M\n\014TokenRequest\022\014\n\004team\030\001 \001(\t\022"
+  "\016\n\006tokens\030\002 \001(\001\022\016\n\006number\030\003 \001(\004\022\017\n\007addre"
+  "ss\030\004 \001(\t\":\n\nTokenGrant\022\014\n\004team\030\001 \001(\t\022\016\n\006"
+  "tokens\030\002 \001(\001\022\016\n\006number\030\003 \001(\004\"\231\002\n\010Datagra"
+  "m\0222\n\006report\030\001 \001(\0132 .almondmoor.wire.Neig"
+  "hbourReportH\000\0220\n\007reading\030\002 \001(\0132\035.almondm"
+  "oor.wire.TableReadingH\000\0220\n\007request\030\003 \001(\013"
+  "2\035.almondmoor.wire.TableRequestH\000\0226\n\rtok"
+  "en_request\030\004 \001(\0132\035.almondmoor.wire.Token"
+  "RequestH\000\0222\n\013token_grant\030\005 \001(\0132\033.almondm"
+  "oor.wire.TokenGrantH\000B\t\n\007content\"3\n\013Rost"
+  "erEntry\022\017\n\007address\030\001 \001(\t\022\023\n\013data_centre\030"
+  "\002 \001(\tb\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_neighbour_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_neighbour_2eproto = {
-    false, false, 1945, descriptor_table_protodef_neighbour_2eproto,
+    false, false, 1973, descriptor_table_protodef_neighbour_2eproto,
     "neighbour.proto",
     &descriptor_table_neighbour_2eproto_once, nullptr, 0, 16,
     schemas, file_default_instances, TableStruct_neighbour_2eproto::offsets,
@@ -2245,6 +2249,8 @@
     , decltype(_impl_.wanted_){from._impl_.wanted_}
     , decltype(_impl_.leaving_){from._impl_.leaving_}
     , decltype(_impl_.moved_){from._impl_.moved_}
+    , decltype(_impl_.quarantined_age_ms_){from._impl_.quarantined_age_ms_}
+    , /*decltype(_impl_._quarantined_age_ms_cached_byte_size_)*/{0}
     , decltype(_impl_.unreachable_){from._impl_.unreachable_}
     , decltype(_impl_.suspected_){from._impl_.suspected_}
     , decltype(_impl_.outcomes_){from._impl_.outcomes_}
@@ -2303,6 +2309,8 @@
     , decltype(_impl_.wanted_){arena}
     , decltype(_impl_.leaving_){arena}
     , decltype(_impl_.moved_){arena}
+    , decltype(_impl_.quarantined_age_ms_){arena}
+    , /*decltype(_impl_._quarantined_age_ms_cached_byte_size_)*/{0}
     , decltype(_impl_.unreachable_){arena}
     , decltype(_impl_.suspected_){arena}
     , decltype(_impl_.outcomes_){arena}
@@ -2347,6 +2355,7 @@
   _impl_.wanted_.~RepeatedPtrField();
   _impl_.leaving_.~RepeatedPtrField();
   _impl_.moved_.~RepeatedPtrField();
+  _impl_.quarantined_age_ms_.~RepeatedField();
   _impl_.unreachable_.~RepeatedPtrField();
   _impl_.suspected_.~RepeatedPtrField();
   _impl_.outcomes_.~RepeatedPtrField();
@@ -2374,6 +2383,7 @@
   _impl_.wanted_.Clear();
   _impl_.leaving_.Clear();
   _impl_.moved_.Clear();
+  _impl_.quarantined_age_ms_.Clear();
   _impl_.unreachable_.Clear();
   _impl_.suspected_.Clear();
   _impl_.outcomes_.Clear();
@@ -2556,6 +2566,17 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated uint32 quarantined_age_ms = 15;
+      case 15:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 122)) {
+          ptr = ::PROTOBUF_NAMESPACE_ID::internal::PackedUInt32Parser(_internal_mutable_quarantined_age_ms(), ptr, ctx);
+          CHK_(ptr);
+        } else if (static_cast<uint8_t>(tag) == 120) {
+          _internal_add_quarantined_age_ms(::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr));
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       // repeated string unreachable = 25;
       case 25:
         if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 202)) {
@@ -2742,6 +2763,15 @@
         InternalWriteMessage(14, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // repeated uint32 quarantined_age_ms = 15;
+  {
+    int byte_size = _impl_._quarantined_age_ms_cached_byte_size_.load(std::memory_order_relaxed);
+    if (byte_size > 0) {
+      target = stream->WriteUInt32Packed(
+          15, _internal_quarantined_age_ms(), byte_size, target);
+    }
+  }
+
   // repeated string unreachable = 25;
   for (int i = 0, n = this->_internal_unreachable_size(); i < n; i++) {
     const auto& s = this->_internal_unreachable(i);
@@ -2848,6 +2878,20 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // repeated uint32 quarantined_age_ms = 15;
+  {
+    size_t data_size = ::_pbi::WireFormatLite::
+      UInt32Size(this->_impl_.quarantined_age_ms_);
+    if (data_size > 0) {
+      total_size += 1 +
+        ::_pbi::WireFormatLite::Int32Size(static_cast<int32_t>(data_size));
+    }
+    int cached_size = ::_pbi::ToCachedSize(data_size);
+    _impl_._quarantined_age_ms_cached_byte_size_.store(cached_size,
+                                    std::memory_order_relaxed);
+    total_size += data_size;
+  }
+
   // repeated string unreachable = 25;
   total_size += 2 *
       ::PROTOBUF_NAMESPACE_ID::internal::FromIntSize(_impl_.unreachable_.size());
@@ -2935,6 +2979,7 @@
   _this->_impl_.wanted_.MergeFrom(from._impl_.wanted_);
   _this->_impl_.leaving_.MergeFrom(from._impl_.leaving_);
   _this->_impl_.moved_.MergeFrom(from._impl_.moved_);
+  _this->_impl_.quarantined_age_ms_.MergeFrom(from._impl_.quarantined_age_ms_);
   _this->_impl_.unreachable_.MergeFrom(from._impl_.unreachable_);
   _this->_impl_.suspected_.MergeFrom(from._impl_.suspected_);
   _this->_impl_.outcomes_.MergeFrom(from._impl_.outcomes_);
@@ -2984,6 +3029,7 @@
   _impl_.wanted_.InternalSwap(&other->_impl_.wanted_);
   _impl_.leaving_.InternalSwap(&other->_impl_.leaving_);
   _impl_.moved_.InternalSwap(&other->_impl_.moved_);
+  _impl_.quarantined_age_ms_.InternalSwap(&other->_impl_.quarantined_age_ms_);
   _impl_.unreachable_.InternalSwap(&other->_impl_.unreachable_);
   _impl_.suspected_.InternalSwap(&other->_impl_.suspected_);
   _impl_.outcomes_.InternalSwap(&other->_impl_.outcomes_);
--- a/Source/metrics.h
+++ b/Source/metrics.h
@@ -109,15 +109,18 @@
     DataCentresEvacuated,
     UpstreamsEvacuated,
     // How long ago the store last confirmed, to this host or to a neighbour, that the tables known here are complete.
-    StoreConfirmationAgeMs
+    StoreConfirmationAgeMs,
+    // Requests that are refused at present because they crashed upstreams.
+    RequestsQuarantined
 };
 
-inline constexpr name_table<gauge, 5> gaugeNames { {
+inline constexpr name_table<gauge, 6> gaugeNames { {
     { gauge::MemoryHeldBytes, "memory_held_bytes" },
     { gauge::MemoryLimitBytes, "memory_limit_bytes" },
     { gauge::DataCentresEvacuated, "data_centres_evacuated" },
     { gauge::UpstreamsEvacuated, "upstreams_evacuated" },
     { gauge::StoreConfirmationAgeMs, "store_confirmation_age_ms" },
+    { gauge::RequestsQuarantined, "requests_quarantined" },
 } };
 
 // Requests of one team.
--- a/Source/neighbour_codec.cxx
+++ b/Source/neighbour_codec.cxx
@@ -104,7 +104,10 @@
         report.suspectedUpstreams.assign(in.suspected().begin(), in.suspected().end());
         for (const auto& entry : in.outcomes())
             report.outcomes[entry.service()] = { entry.requests(), entry.unserved() };
-        report.quarantined.assign(in.quarantined().begin(), in.quarantined().end());
+        for (int index = 0; index < in.quarantined_size(); ++index) {
+            const std::uint32_t ageMs = index < in.quarantined_age_ms_size() ? in.quarantined_age_ms(index) : 0;
+            report.quarantined.push_back({ in.quarantined(index), now - std::chrono::milliseconds(ageMs) });
+        }
         if (in.has_confirmation())
             report.confirmation = decodeConfirmation(in.confirmation(), now);
         return report;
@@ -206,8 +209,10 @@
         out.add_unreachable(upstream);
     for (const std::string& upstream : report.suspectedUpstreams)
         out.add_suspected(upstream);
-    for (const std::uint64_t fingerprint : report.quarantined)
-        out.add_quarantined(fingerprint);
+    for (const quarantined_request& it : report.quarantined) {
+        out.add_quarantined(it.fingerprint);
+        out.add_quarantined_age_ms(nonNegativeMilliseconds(now - it.lastCrashAt));
+    }
     if (report.confirmation)
         encodeConfirmation(*report.confirmation, now, *out.mutable_confirmation());
     return datagram.SerializeAsString();
--- a/Source/neighbour_codec.h
+++ b/Source/neighbour_codec.h
@@ -51,7 +51,7 @@
 // The hosts of the fleet by name.
 using fleet_membership = std::map<std::string, membership_entry>;
 
-// The report's confirmation is encoded as its age at the instant now.
+// The times in a report are encoded as ages at the instant now.
 std::string encodeReport(const neighbour_report&, instant now);
 
 std::string encodeReading(const table_reading&);
@@ -60,7 +60,7 @@
 std::string encodeGrant(const token_grant&);
 
 // Returns nullopt if the bytes are not a valid datagram. The instant now is the time of
-// receipt, from which the age of a confirmation is subtracted.
+// receipt, from which ages are subtracted.
 std::optional<neighbour_datagram> decodeDatagram(std::string_view bytes, instant now);
 
 std::string encodeMembershipEntry(const membership_entry&);
--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -175,8 +175,8 @@
     m_runtime.counters().add(event::NeighbourReportsReceived);
     if (report.dataCentre != m_runtime.settings().dataCentre) {
         const dispatch_core::peer_report peerReport { report.samples, report.quarantined, report.idleUpstreams, report.suspectedUpstreams };
-        m_runtime.withCore([&](dispatch_core& it) { it.recordPeerReport(peerReport, now); });
-        scheduleReport(update_urgency::High);
+        if (m_runtime.withCore([&](dispatch_core& it) { return it.recordPeerReport(peerReport, now); }))
+            scheduleReport(update_urgency::High);
         return;
     }
     m_runtime.withCore([&](dispatch_core& it) { it.recordReport(report, now); });
@@ -349,7 +349,6 @@
     report.unreachableUpstreams = std::move(state.unreachableUpstreams);
     report.suspectedUpstreams = std::move(state.suspectedUpstreams);
     report.quarantined = std::move(state.quarantined);
-    report.quarantined.insert(report.quarantined.end(), peerReport.quarantined.begin(), peerReport.quarantined.end());
     if (m_readingHandlers.confirmation)
         report.confirmation = m_readingHandlers.confirmation();
     sendToNeighbours(encodeReport(report, now));
@@ -376,8 +375,6 @@
 
 void neighbour_link::sendPeerReport(const dispatch_core::peer_report& peerReport)
 {
-    for (const std::uint64_t fingerprint : peerReport.quarantined)
-        logInfo(absl::StrCat("event=quarantine fingerprint=", absl::Hex(fingerprint)));
     for (const neighbour_sample& sample : peerReport.failures)
         logInfo(absl::StrCat("event=upstream-failing upstream=", sample.upstream, " result=", std::string(nameIn(attemptResultNames, sample.result))));
     neighbour_report report = makeReport();
--- a/Source/proxy_runtime.cxx
+++ b/Source/proxy_runtime.cxx
@@ -214,6 +214,7 @@
     for (const idle_upstream& it : idle)
         recordIdleUpstream(it);
     recordColdUpstreams(now);
+    recordQuarantines(now);
     if (!idle.empty())
         scheduleReport(update_urgency::High);
     m_upstreams.closeIdle();
@@ -233,6 +234,18 @@
         logInfo(absl::StrCat("event=upstream-cold upstream=", it.upstream, " state=", std::string(nameIn(coldStateNames, it.state)), " count=", count));
 }
 
+void proxy_runtime::recordQuarantines(instant now)
+{
+    std::vector<quarantine_change> changes;
+    const std::size_t count = withCore([&](dispatch_core& it) {
+        changes = it.takeQuarantineChanges();
+        return it.quarantinedRequests(now);
+    });
+    m_metrics.set(gauge::RequestsQuarantined, count);
+    for (const quarantine_change& it : changes)
+        logInfo(absl::StrCat("event=quarantine fingerprint=", absl::Hex(it.fingerprint), " source=", std::string(nameIn(quarantineSourceNames, it.source)), " age_ms=", wholeMilliseconds(it.age), " count=", count));
+}
+
 void proxy_runtime::recordIdleUpstream(const idle_upstream& it)
 {
     m_metrics.add(event::IdleUpstreamsDetected);
--- a/Source/proxy_runtime.h
+++ b/Source/proxy_runtime.h
@@ -126,6 +126,8 @@
     void recordIdleUpstream(const idle_upstream&);
     // Logs and counts the upstreams that became cold or warm.
     void recordColdUpstreams(instant now);
+    // Logs the quarantines that began, and counts those that stand.
+    void recordQuarantines(instant now);
     void logEvacuation(const evacuation_event&) const;
     // Sets the gauges of evacuated data centres and upstreams.
     void updateEvacuationGauges();
--- a/Tests/Core/dispatch_core_test.cxx
+++ b/Tests/Core/dispatch_core_test.cxx
@@ -106,12 +106,12 @@
     CHECK(core.isQuarantined(fingerprint, begin));
 
     const auto peerReport = core.takePeerReport();
-    CHECK(peerReport.quarantined == std::vector<std::uint64_t> { fingerprint });
+    CHECK(peerReport.quarantined == std::vector<quarantined_request> { { fingerprint, begin } });
     CHECK(core.takePeerReport().isEmpty());
     remote.recordPeerReport(peerReport, begin);
     CHECK(remote.isQuarantined(fingerprint, begin));
     // The host that received the report forwards the fingerprint to its neighbours.
-    CHECK(remote.takeReport(begin).quarantined == std::vector<std::uint64_t> { fingerprint });
+    CHECK(remote.takeReport(begin).quarantined == std::vector<quarantined_request> { { fingerprint, begin } });
 
     neighbour_report report = core.takeReport(begin);
     report.incarnation = 1;
--- a/Tests/Processes/proxy_process_test.cxx
+++ b/Tests/Processes/proxy_process_test.cxx
@@ -156,6 +156,32 @@
     }
 }
 
+// Guards against a restarted host that sends on a request which crashes upstreams, although its neighbours refuse it.
+TEST_CASE("a host that is killed and started again refuses the requests that its neighbours have quarantined", "[process]")
+{
+    constexpr duration contactTime = 3s;
+    const std::string deadlyPath = "/unsafe/1?crash=yes";
+    proxy_processes fleet(3);
+    for (unsigned host = 0; host < fleet.size(); ++host)
+        fleet.start(host);
+    for (unsigned host = 0; host < fleet.size(); ++host)
+        REQUIRE(fleet.waitUntilReady(host));
+    REQUIRE(becomesTrueWithin(10s, [&] { return fleet.sendRequest(0, deadlyPath, "POST") == 503; }));
+    const auto received = [&fleet] { return fleet.upstream(0).receivedCount() + fleet.upstream(1).receivedCount(); };
+    const std::size_t crashes = received();
+    fleet.signal(1, SIGKILL);
+    fleet.waitFor(1);
+    fleet.start(1);
+    REQUIRE(fleet.waitUntilReady(1));
+    std::string log;
+    const auto hasLearned = [&] { return (log += fleet.takeOutput(1)).find("event=quarantine ") != std::string::npos; };
+    CHECK(becomesTrueWithin(contactTime, hasLearned));
+    CHECK(log.find("source=neighbour age_ms=") != std::string::npos);
+    CHECK(fleet.sendRequest(1, deadlyPath, "POST") == 503);
+    CHECK(received() == crashes);
+    CHECK(fleet.sendRequest(1, "/unsafe/1", "POST") == 200);
+}
+
 TEST_CASE("a planned stop aborts no request", "[process]")
 {
     proxy_processes fleet(1);
--- a/Tests/Serve/neighbour_codec_test.cxx
+++ b/Tests/Serve/neighbour_codec_test.cxx
@@ -1,5 +1,6 @@
 // Tests that reports between hosts keep their content, also from an older sender.
 
+#include "neighbour.pb.h"
 #include "neighbour_codec.h"
 
 #include <catch2/catch.hpp>
@@ -51,6 +52,25 @@
     CHECK(passedOn(reportWithSample(1e12)).samples[0].relativeLatency == 10'000.0);
 }
 
+TEST_CASE("a quarantined request keeps its age, which an older sender does not tell", "[codec]")
+{
+    neighbour_report sent;
+    sent.host = "h1";
+    sent.quarantined = { { 77, begin - 41s }, { 78, begin } };
+    constexpr duration clockDifference = 5min;
+    const auto datagram = decodeDatagram(encodeReport(sent, begin), begin + clockDifference);
+    REQUIRE(datagram);
+    const auto& received = std::get<neighbour_report>(*datagram);
+    CHECK(received.quarantined == std::vector<quarantined_request> { { 77, begin + clockDifference - 41s }, { 78, begin + clockDifference } });
+
+    wire::Datagram older;
+    older.mutable_report()->set_host("h1");
+    older.mutable_report()->add_quarantined(77);
+    const auto olderDatagram = decodeDatagram(older.SerializeAsString(), begin);
+    REQUIRE(olderDatagram);
+    CHECK(std::get<neighbour_report>(*olderDatagram).quarantined == std::vector<quarantined_request> { { 77, begin } });
+}
+
 TEST_CASE("a request for a table and the reading that answers it keep their content", "[codec]")
 {
     const auto request = decodeDatagram(encodeRequest({ followed_table::Upstreams, "127.0.0.1:1", 17 }), begin);
