Core: Messages between serve hosts tell quarantines with their age

Callers would see: a serve host that is restarted sends on a request that the others refuse.

Results of attempts are kept for hosts that lag in a log of 4,000 reports, which 18 hosts with 20 reports a second each fill in 11 s. A restarted host gets the log, without ages, so in a busy fleet it learned nothing of a quarantine, and in a quiet one it counted old crashes as new.

Change: each message between hosts lists the requests that the sender refuses, with the age of the last crash. Hosts of the version before ignore the field.

Evidence: the new fleet test fails with the field left out (the restarted host accepts the request) and passes with it, 1 run each. Not changed: crashes in the log still count as new at a host that is restarted, which can begin a quarantine anew there.

--- a/Source/Core/fleet_member.cxx
+++ b/Source/Core/fleet_member.cxx
@@ -130,6 +130,8 @@
     }
     if (m_freshness.storeReadAt())
         message.storeRead = relayed_store_read { true, m_freshness.storeHead(), ageInMs(*m_freshness.storeReadAt(), now) };
+    for (const quarantined_request& it : m_quarantined)
+        message.quarantines.push_back({ it.fingerprint, ageInMs(it.lastCrashAt, now) });
     if (!withVersionReports)
         return message;
     for (const auto& [name, report] : m_freshness.versionReports()) {
@@ -327,6 +329,8 @@
             effects.samples.push_back(remote_sample { report.origin, report.dataCentre, sample });
         logHealthReport(report, message.sender);
     }
+    for (const relayed_quarantine& it : message.quarantines)
+        effects.quarantined.push_back({ it.fingerprint, instantFromAge(it.ageMs, now) });
     effects.grants = message.shareGrants;
     for (const share_handover& handover : message.shareHandovers)
         m_home.acceptHandover(handover, now);
--- a/Source/Core/fleet_member.h
+++ b/Source/Core/fleet_member.h
@@ -10,6 +10,7 @@
 
 #pragma once
 
+#include "Core/crash_quarantine.h"
 #include "Core/freshness.h"
 #include "Core/peer_message.h"
 
@@ -61,6 +62,8 @@
     bool isMember = false;
     std::vector<share_grant> grants;
     std::vector<remote_sample> samples;
+    // Requests that another host refuses.
+    std::vector<quarantined_request> quarantined;
     std::vector<outgoing_message> messages;
 };
 
@@ -80,6 +83,9 @@
     // Runs the periodic tasks. Reports and samples are those that the traffic core has collected since the last tick.
     member_effects tick(std::vector<share_report> reports, std::vector<attempt_sample> samples, instant now);
 
+    // Sets the requests that this host refuses, which each of its messages tells until the next call.
+    void setQuarantinedRequests(std::vector<quarantined_request> it) { m_quarantined = std::move(it); }
+
     // Returns messages for share reports that cannot wait for the next tick. Reports about teams whose home is this host
     // are answered at once, with grants in the effects.
     member_effects sendShareReports(std::vector<share_report> reports, instant now);
@@ -202,6 +208,7 @@
     std::uint64_t m_nextHealthReportIndex = 1;
     std::uint64_t m_nextHealthReportSequence = 1;
     std::map<std::string, origin_row> m_origins;
+    std::vector<quarantined_request> m_quarantined;
     bool m_wasMember = false;
     std::optional<instant> m_exchangedAt;
     std::optional<instant> m_storePolledAt;
--- a/Source/Core/peer_message.h
+++ b/Source/Core/peer_message.h
@@ -39,6 +39,13 @@
     std::vector<attempt_sample> samples;
 };
 
+// A request that the sender refuses since it crashed upstreams.
+struct relayed_quarantine {
+    std::uint64_t fingerprint = 0;
+    // Whole milliseconds since the last crash, rounded up.
+    std::uint32_t ageMs = 0;
+};
+
 struct peer_message {
     std::string sender;
     std::uint64_t incarnation = 0;
@@ -63,6 +70,7 @@
     std::vector<share_report> shareReports;
     std::vector<share_grant> shareGrants;
     std::vector<share_handover> shareHandovers;
+    std::vector<relayed_quarantine> quarantines;
 };
 
 // Kinds of message, used as a metric label.
--- a/Source/Core/traffic_core.h
+++ b/Source/Core/traffic_core.h
@@ -115,6 +115,12 @@
 
     bool isQuarantined(std::uint64_t fingerprint, instant now) const { return m_quarantine.isQuarantined(fingerprint, now); }
 
+    // Returns the requests that are refused since they crashed upstreams, for the other hosts.
+    std::vector<quarantined_request> quarantinedRequests(instant now) const { return m_quarantine.quarantinedRequests(now); }
+
+    // Records a request that another host refuses.
+    void recordRemoteQuarantine(const quarantined_request& it, instant now) { m_quarantine.recordQuarantine(it, now); }
+
     // Records the result of an attempt of another host.
     void recordRemoteSample(const std::string& host, const std::string& dataCentre, const attempt_sample&, instant now);
 
--- a/Source/Generated/peer.pb.cxx
+++ b/Source/Generated/peer.pb.cxx
@@ -164,6 +164,20 @@
   };
 };
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 ShareHandoverDefaultTypeInternal _ShareHandover_default_instance_;
+PROTOBUF_CONSTEXPR Quarantine::Quarantine(
+    ::_pbi::ConstantInitialized): _impl_{
+    /*decltype(_impl_.fingerprint_)*/uint64_t{0u}
+  , /*decltype(_impl_.age_ms_)*/0u
+  , /*decltype(_impl_._cached_size_)*/{}} {}
+struct QuarantineDefaultTypeInternal {
+  PROTOBUF_CONSTEXPR QuarantineDefaultTypeInternal()
+      : _instance(::_pbi::ConstantInitialized{}) {}
+  ~QuarantineDefaultTypeInternal() {}
+  union {
+    Quarantine _instance;
+  };
+};
+PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 QuarantineDefaultTypeInternal _Quarantine_default_instance_;
 PROTOBUF_CONSTEXPR PeerMessage::PeerMessage(
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.statements_)*/{}
@@ -173,6 +187,7 @@
   , /*decltype(_impl_.share_reports_)*/{}
   , /*decltype(_impl_.share_grants_)*/{}
   , /*decltype(_impl_.share_handovers_)*/{}
+  , /*decltype(_impl_.quarantines_)*/{}
   , /*decltype(_impl_.sender_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.data_centre_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.store_read_)*/nullptr
@@ -195,7 +210,7 @@
 PROTOBUF_ATTRIBUTE_NO_DESTROY PROTOBUF_CONSTINIT PROTOBUF_ATTRIBUTE_INIT_PRIORITY1 PeerMessageDefaultTypeInternal _PeerMessage_default_instance_;
 }  // namespace wire
 }  // namespace almondmoor
-static ::_pb::Metadata file_level_metadata_peer_2eproto[9];
+static ::_pb::Metadata file_level_metadata_peer_2eproto[10];
 static constexpr ::_pb::EnumDescriptor const** file_level_enum_descriptors_peer_2eproto = nullptr;
 static constexpr ::_pb::ServiceDescriptor const** file_level_service_descriptors_peer_2eproto = nullptr;
 
@@ -295,6 +310,14 @@
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::ShareHandover, _impl_.burst_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::ShareHandover, _impl_.tokens_),
   ~0u,  // no _has_bits_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Quarantine, _internal_metadata_),
+  ~0u,  // no _extensions_
+  ~0u,  // no _oneof_case_
+  ~0u,  // no _weak_field_map_
+  ~0u,  // no _inlined_string_donated_
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Quarantine, _impl_.fingerprint_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Quarantine, _impl_.age_ms_),
+  ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::PeerMessage, _internal_metadata_),
   ~0u,  // no _extensions_
   ~0u,  // no _oneof_case_
@@ -317,6 +340,7 @@
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::PeerMessage, _impl_.share_reports_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::PeerMessage, _impl_.share_grants_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::PeerMessage, _impl_.share_handovers_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::PeerMessage, _impl_.quarantines_),
 };
 static const ::_pbi::MigrationSchema schemas[] PROTOBUF_SECTION_VARIABLE(protodesc_cold) = {
   { 0, -1, -1, sizeof(::almondmoor::wire::StoreRead)},
@@ -327,7 +351,8 @@
   { 51, -1, -1, sizeof(::almondmoor::wire::ShareReport)},
   { 67, -1, -1, sizeof(::almondmoor::wire::ShareGrant)},
   { 83, -1, -1, sizeof(::almondmoor::wire::ShareHandover)},
-  { 94, -1, -1, sizeof(::almondmoor::wire::PeerMessage)},
+  { 94, -1, -1, sizeof(::almondmoor::wire::Quarantine)},
+  { 102, -1, -1, sizeof(::almondmoor::wire::PeerMessage)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -339,6 +364,7 @@
   &::almondmoor::wire::_ShareReport_default_instance_._instance,
   &::almondmoor::wire::_ShareGrant_default_instance_._instance,
   &::almondmoor::wire::_ShareHandover_default_instance_._instance,
+  &::almondmoor::wire::_Quarantine_default_instance_._instance,
   &::almondmoor::wire::_PeerMessage_default_instance_._instance,
 };
 
@@ -368,29 +394,32 @@
   "\001\022\025\n\rtarget_tokens\030\t \001(\001\022\017\n\007wait_ms\030\n \001("
   "\r\"d\n\rShareHandover\022\014\n\004team\030\001 \001(\t\022\r\n\005epoc"
   "h\030\002 \001(\004\022\027\n\017rate_per_second\030\003 \001(\001\022\r\n\005burs"
-  "t\030\004 \001(\001\022\016\n\006tokens\030\005 \001(\001\"\253\004\n\013PeerMessage\022"
-  "\016\n\006sender\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\023\n\013"
-  "data_centre\030\003 \001(\t\022\017\n\007version\030\004 \001(\004\022\r\n\005st"
-  "amp\030\005 \001(\003\022\014\n\004echo\030\006 \001(\003\022\030\n\020echo_incarnat"
-  "ion\030\007 \001(\004\022.\n\nstore_read\030\010 \001(\0132\032.almondmo"
-  "or.wire.StoreRead\022.\n\nstatements\030\t \003(\0132\032."
-  "almondmoor.wire.Statement\022(\n\007changes\030\n \003"
-  "(\0132\027.almondmoor.wire.Change\022\030\n\020snapshot_"
-  "version\030\013 \001(\004\022\020\n\010snapshot\030\014 \003(\t\022\026\n\016wants"
-  "_evidence\030\r \001(\010\022+\n\010evidence\030\016 \003(\0132\031.almo"
-  "ndmoor.wire.Evidence\0223\n\rshare_reports\030\017 "
-  "\003(\0132\034.almondmoor.wire.ShareReport\0221\n\014sha"
-  "re_grants\030\020 \003(\0132\033.almondmoor.wire.ShareG"
-  "rant\0227\n\017share_handovers\030\021 \003(\0132\036.almondmo"
-  "or.wire.ShareHandover2N\n\004Peer\022F\n\010Exchang"
-  "e\022\034.almondmoor.wire.PeerMessage\032\034.almond"
-  "moor.wire.PeerMessageb\006proto3"
+  "t\030\004 \001(\001\022\016\n\006tokens\030\005 \001(\001\"1\n\nQuarantine\022\023\n"
+  "\013fingerprint\030\001 \001(\006\022\016\n\006age_ms\030\002 \001(\r\"\335\004\n\013P"
+  "eerMessage\022\016\n\006sender\030\001 \001(\t\022\023\n\013incarnatio"
+  "n\030\002 \001(\004\022\023\n\013data_centre\030\003 \001(\t\022\017\n\007version\030"
+  "\004 \001(\004\022\r\n\005stamp\030\005 \001(\003\022\014\n\004echo\030\006 \001(\003\022\030\n\020ec"
+  "ho_incarnation\030\007 \001(\004\022.\n\nstore_read\030\010 \001(\013"
+  "2\032.almondmoor.wire.StoreRead\022.\n\nstatemen"
+  "ts\030\t \003(\0132\032.almondmoor.wire.Statement\022(\n\007"
+  "changes\030\n \003(\0132\027.almondmoor.wire.Change\022\030"
+  "\n\020snapshot_version\030\013 \001(\004\022\020\n\010snapshot\030\014 \003"
+  "(\t\022\026\n\016wants_evidence\030\r \001(\010\022+\n\010evidence\030\016"
+  " \003(\0132\031.almondmoor.wire.Evidence\0223\n\rshare"
+  "_reports\030\017 \003(\0132\034.almondmoor.wire.ShareRe"
+  "port\0221\n\014share_grants\030\020 \003(\0132\033.almondmoor."
+  "wire.ShareGrant\0227\n\017share_handovers\030\021 \003(\013"
+  "2\036.almondmoor.wire.ShareHandover\0220\n\013quar"
+  "antines\030\022 \003(\0132\033.almondmoor.wire.Quaranti"
+  "ne2N\n\004Peer\022F\n\010Exchange\022\034.almondmoor.wire"
+  ".PeerMessage\032\034.almondmoor.wire.PeerMessa"
+  "geb\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_peer_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_peer_2eproto = {
-    false, false, 1669, descriptor_table_protodef_peer_2eproto,
+    false, false, 1770, descriptor_table_protodef_peer_2eproto,
     "peer.proto",
-    &descriptor_table_peer_2eproto_once, nullptr, 0, 9,
+    &descriptor_table_peer_2eproto_once, nullptr, 0, 10,
     schemas, file_default_instances, TableStruct_peer_2eproto::offsets,
     file_level_metadata_peer_2eproto, file_level_enum_descriptors_peer_2eproto,
     file_level_service_descriptors_peer_2eproto,
@@ -3278,6 +3307,217 @@
 
 // ===================================================================
 
+class Quarantine::_Internal {
+ public:
+};
+
+Quarantine::Quarantine(::PROTOBUF_NAMESPACE_ID::Arena* arena,
+                         bool is_message_owned)
+  : ::PROTOBUF_NAMESPACE_ID::Message(arena, is_message_owned) {
+  SharedCtor(arena, is_message_owned);
+  // @@protoc_insertion_point(arena_constructor:almondmoor.wire.Quarantine)
+}
+Quarantine::Quarantine(const Quarantine& from)
+  : ::PROTOBUF_NAMESPACE_ID::Message() {
+  Quarantine* const _this = this; (void)_this;
+  new (&_impl_) Impl_{
+      decltype(_impl_.fingerprint_){}
+    , decltype(_impl_.age_ms_){}
+    , /*decltype(_impl_._cached_size_)*/{}};
+
+  _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+  ::memcpy(&_impl_.fingerprint_, &from._impl_.fingerprint_,
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.age_ms_) -
+    reinterpret_cast<char*>(&_impl_.fingerprint_)) + sizeof(_impl_.age_ms_));
+  // @@protoc_insertion_point(copy_constructor:almondmoor.wire.Quarantine)
+}
+
+inline void Quarantine::SharedCtor(
+    ::_pb::Arena* arena, bool is_message_owned) {
+  (void)arena;
+  (void)is_message_owned;
+  new (&_impl_) Impl_{
+      decltype(_impl_.fingerprint_){uint64_t{0u}}
+    , decltype(_impl_.age_ms_){0u}
+    , /*decltype(_impl_._cached_size_)*/{}
+  };
+}
+
+Quarantine::~Quarantine() {
+  // @@protoc_insertion_point(destructor:almondmoor.wire.Quarantine)
+  if (auto *arena = _internal_metadata_.DeleteReturnArena<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>()) {
+  (void)arena;
+    return;
+  }
+  SharedDtor();
+}
+
+inline void Quarantine::SharedDtor() {
+  GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
+}
+
+void Quarantine::SetCachedSize(int size) const {
+  _impl_._cached_size_.Set(size);
+}
+
+void Quarantine::Clear() {
+// @@protoc_insertion_point(message_clear_start:almondmoor.wire.Quarantine)
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  ::memset(&_impl_.fingerprint_, 0, static_cast<size_t>(
+      reinterpret_cast<char*>(&_impl_.age_ms_) -
+      reinterpret_cast<char*>(&_impl_.fingerprint_)) + sizeof(_impl_.age_ms_));
+  _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
+}
+
+const char* Quarantine::_InternalParse(const char* ptr, ::_pbi::ParseContext* ctx) {
+#define CHK_(x) if (PROTOBUF_PREDICT_FALSE(!(x))) goto failure
+  while (!ctx->Done(&ptr)) {
+    uint32_t tag;
+    ptr = ::_pbi::ReadTag(ptr, &tag);
+    switch (tag >> 3) {
+      // fixed64 fingerprint = 1;
+      case 1:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 9)) {
+          _impl_.fingerprint_ = ::PROTOBUF_NAMESPACE_ID::internal::UnalignedLoad<uint64_t>(ptr);
+          ptr += sizeof(uint64_t);
+        } else
+          goto handle_unusual;
+        continue;
+      // uint32 age_ms = 2;
+      case 2:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 16)) {
+          _impl_.age_ms_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint32(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
+      default:
+        goto handle_unusual;
+    }  // switch
+  handle_unusual:
+    if ((tag == 0) || ((tag & 7) == 4)) {
+      CHK_(ptr);
+      ctx->SetLastTag(tag);
+      goto message_done;
+    }
+    ptr = UnknownFieldParse(
+        tag,
+        _internal_metadata_.mutable_unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(),
+        ptr, ctx);
+    CHK_(ptr != nullptr);
+  }  // while
+message_done:
+  return ptr;
+failure:
+  ptr = nullptr;
+  goto message_done;
+#undef CHK_
+}
+
+uint8_t* Quarantine::_InternalSerialize(
+    uint8_t* target, ::PROTOBUF_NAMESPACE_ID::io::EpsCopyOutputStream* stream) const {
+  // @@protoc_insertion_point(serialize_to_array_start:almondmoor.wire.Quarantine)
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  // fixed64 fingerprint = 1;
+  if (this->_internal_fingerprint() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteFixed64ToArray(1, this->_internal_fingerprint(), target);
+  }
+
+  // uint32 age_ms = 2;
+  if (this->_internal_age_ms() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt32ToArray(2, this->_internal_age_ms(), target);
+  }
+
+  if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
+    target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
+        _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
+  }
+  // @@protoc_insertion_point(serialize_to_array_end:almondmoor.wire.Quarantine)
+  return target;
+}
+
+size_t Quarantine::ByteSizeLong() const {
+// @@protoc_insertion_point(message_byte_size_start:almondmoor.wire.Quarantine)
+  size_t total_size = 0;
+
+  uint32_t cached_has_bits = 0;
+  // Prevent compiler warnings about cached_has_bits being unused
+  (void) cached_has_bits;
+
+  // fixed64 fingerprint = 1;
+  if (this->_internal_fingerprint() != 0) {
+    total_size += 1 + 8;
+  }
+
+  // uint32 age_ms = 2;
+  if (this->_internal_age_ms() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_age_ms());
+  }
+
+  return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
+}
+
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData Quarantine::_class_data_ = {
+    ::PROTOBUF_NAMESPACE_ID::Message::CopyWithSourceCheck,
+    Quarantine::MergeImpl
+};
+const ::PROTOBUF_NAMESPACE_ID::Message::ClassData*Quarantine::GetClassData() const { return &_class_data_; }
+
+
+void Quarantine::MergeImpl(::PROTOBUF_NAMESPACE_ID::Message& to_msg, const ::PROTOBUF_NAMESPACE_ID::Message& from_msg) {
+  auto* const _this = static_cast<Quarantine*>(&to_msg);
+  auto& from = static_cast<const Quarantine&>(from_msg);
+  // @@protoc_insertion_point(class_specific_merge_from_start:almondmoor.wire.Quarantine)
+  GOOGLE_DCHECK_NE(&from, _this);
+  uint32_t cached_has_bits = 0;
+  (void) cached_has_bits;
+
+  if (from._internal_fingerprint() != 0) {
+    _this->_internal_set_fingerprint(from._internal_fingerprint());
+  }
+  if (from._internal_age_ms() != 0) {
+    _this->_internal_set_age_ms(from._internal_age_ms());
+  }
+  _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
+}
+
+void Quarantine::CopyFrom(const Quarantine& from) {
+// @@protoc_insertion_point(class_specific_copy_from_start:almondmoor.wire.Quarantine)
+  if (&from == this) return;
+  Clear();
+  MergeFrom(from);
+}
+
+bool Quarantine::IsInitialized() const {
+  return true;
+}
+
+void Quarantine::InternalSwap(Quarantine* other) {
+  using std::swap;
+  _internal_metadata_.InternalSwap(&other->_internal_metadata_);
+  ::PROTOBUF_NAMESPACE_ID::internal::memswap<
+      PROTOBUF_FIELD_OFFSET(Quarantine, _impl_.age_ms_)
+      + sizeof(Quarantine::_impl_.age_ms_)
+      - PROTOBUF_FIELD_OFFSET(Quarantine, _impl_.fingerprint_)>(
+          reinterpret_cast<char*>(&_impl_.fingerprint_),
+          reinterpret_cast<char*>(&other->_impl_.fingerprint_));
+}
+
+::PROTOBUF_NAMESPACE_ID::Metadata Quarantine::GetMetadata() const {
+  return ::_pbi::AssignDescriptors(
+      &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
+      file_level_metadata_peer_2eproto[8]);
+}
+
+// ===================================================================
+
 class PeerMessage::_Internal {
  public:
   static const ::almondmoor::wire::StoreRead& store_read(const PeerMessage* msg);
@@ -3304,6 +3544,7 @@
     , decltype(_impl_.share_reports_){from._impl_.share_reports_}
     , decltype(_impl_.share_grants_){from._impl_.share_grants_}
     , decltype(_impl_.share_handovers_){from._impl_.share_handovers_}
+    , decltype(_impl_.quarantines_){from._impl_.quarantines_}
     , decltype(_impl_.sender_){}
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.store_read_){nullptr}
@@ -3354,6 +3595,7 @@
     , decltype(_impl_.share_reports_){arena}
     , decltype(_impl_.share_grants_){arena}
     , decltype(_impl_.share_handovers_){arena}
+    , decltype(_impl_.quarantines_){arena}
     , decltype(_impl_.sender_){}
     , decltype(_impl_.data_centre_){}
     , decltype(_impl_.store_read_){nullptr}
@@ -3394,6 +3636,7 @@
   _impl_.share_reports_.~RepeatedPtrField();
   _impl_.share_grants_.~RepeatedPtrField();
   _impl_.share_handovers_.~RepeatedPtrField();
+  _impl_.quarantines_.~RepeatedPtrField();
   _impl_.sender_.Destroy();
   _impl_.data_centre_.Destroy();
   if (this != internal_default_instance()) delete _impl_.store_read_;
@@ -3416,6 +3659,7 @@
   _impl_.share_reports_.Clear();
   _impl_.share_grants_.Clear();
   _impl_.share_handovers_.Clear();
+  _impl_.quarantines_.Clear();
   _impl_.sender_.ClearToEmpty();
   _impl_.data_centre_.ClearToEmpty();
   if (GetArenaForAllocation() == nullptr && _impl_.store_read_ != nullptr) {
@@ -3611,6 +3855,19 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated .almondmoor.wire.Quarantine quarantines = 18;
+      case 18:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 146)) {
+          ptr -= 2;
+          do {
+            ptr += 2;
+            ptr = ctx->ParseMessage(_internal_add_quarantines(), ptr);
+            CHK_(ptr);
+            if (!ctx->DataAvailable(ptr)) break;
+          } while (::PROTOBUF_NAMESPACE_ID::internal::ExpectTag<146>(ptr));
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -3767,6 +4024,14 @@
         InternalWriteMessage(17, repfield, repfield.GetCachedSize(), target, stream);
   }
 
+  // repeated .almondmoor.wire.Quarantine quarantines = 18;
+  for (unsigned i = 0,
+      n = static_cast<unsigned>(this->_internal_quarantines_size()); i < n; i++) {
+    const auto& repfield = this->_internal_quarantines(i);
+    target = ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::
+        InternalWriteMessage(18, repfield, repfield.GetCachedSize(), target, stream);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -3833,6 +4098,13 @@
       ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
   }
 
+  // repeated .almondmoor.wire.Quarantine quarantines = 18;
+  total_size += 2UL * this->_internal_quarantines_size();
+  for (const auto& msg : this->_impl_.quarantines_) {
+    total_size +=
+      ::PROTOBUF_NAMESPACE_ID::internal::WireFormatLite::MessageSize(msg);
+  }
+
   // string sender = 1;
   if (!this->_internal_sender().empty()) {
     total_size += 1 +
@@ -3914,6 +4186,7 @@
   _this->_impl_.share_reports_.MergeFrom(from._impl_.share_reports_);
   _this->_impl_.share_grants_.MergeFrom(from._impl_.share_grants_);
   _this->_impl_.share_handovers_.MergeFrom(from._impl_.share_handovers_);
+  _this->_impl_.quarantines_.MergeFrom(from._impl_.quarantines_);
   if (!from._internal_sender().empty()) {
     _this->_internal_set_sender(from._internal_sender());
   }
@@ -3971,6 +4244,7 @@
   _impl_.share_reports_.InternalSwap(&other->_impl_.share_reports_);
   _impl_.share_grants_.InternalSwap(&other->_impl_.share_grants_);
   _impl_.share_handovers_.InternalSwap(&other->_impl_.share_handovers_);
+  _impl_.quarantines_.InternalSwap(&other->_impl_.quarantines_);
   ::PROTOBUF_NAMESPACE_ID::internal::ArenaStringPtr::InternalSwap(
       &_impl_.sender_, lhs_arena,
       &other->_impl_.sender_, rhs_arena
@@ -3990,7 +4264,7 @@
 ::PROTOBUF_NAMESPACE_ID::Metadata PeerMessage::GetMetadata() const {
   return ::_pbi::AssignDescriptors(
       &descriptor_table_peer_2eproto_getter, &descriptor_table_peer_2eproto_once,
-      file_level_metadata_peer_2eproto[8]);
+      file_level_metadata_peer_2eproto[9]);
 }
 
 // @@protoc_insertion_point(namespace_scope)
@@ -4029,6 +4303,10 @@
 Arena::CreateMaybeMessage< ::almondmoor::wire::ShareHandover >(Arena* arena) {
   return Arena::CreateMessageInternal< ::almondmoor::wire::ShareHandover >(arena);
 }
+template<> PROTOBUF_NOINLINE ::almondmoor::wire::Quarantine*
+Arena::CreateMaybeMessage< ::almondmoor::wire::Quarantine >(Arena* arena) {
+  return Arena::CreateMessageInternal< ::almondmoor::wire::Quarantine >(arena);
+}
 template<> PROTOBUF_NOINLINE ::almondmoor::wire::PeerMessage*
 Arena::CreateMaybeMessage< ::almondmoor::wire::PeerMessage >(Arena* arena) {
   return Arena::CreateMessageInternal< ::almondmoor::wire::PeerMessage >(arena);
--- a/Source/control_loop.cxx
+++ b/Source/control_loop.cxx
@@ -100,13 +100,16 @@
     std::vector<share_report> reports;
     std::vector<attempt_sample> samples;
     std::vector<health_transition> transitions;
+    std::vector<quarantined_request> quarantined;
     m_runtime.withTraffic([&](traffic_core& traffic) {
         transitions = traffic.tick(now);
         reports = traffic.holder().dueReports(now);
         samples = traffic.takeSamples();
+        quarantined = traffic.quarantinedRequests(now);
         return 0;
     });
     logTransitions(transitions);
+    m_member.setQuarantinedRequests(std::move(quarantined));
     handleEffects(m_member.tick(std::move(reports), std::move(samples), now));
     if (!transitions.empty())
         m_runtime.grantSlots();
@@ -142,6 +145,8 @@
             traffic.holder().applyGrant(grant, now);
         for (const remote_sample& sample : effects.samples)
             traffic.recordRemoteSample(sample.host, sample.dataCentre, sample.sample, now);
+        for (const quarantined_request& it : effects.quarantined)
+            traffic.recordRemoteQuarantine(it, now);
         return 0;
     });
     if (!effects.grants.empty())
--- a/Source/peer_codec.cxx
+++ b/Source/peer_codec.cxx
@@ -147,6 +147,11 @@
         writeShareGrant(grant, *to.add_share_grants());
     for (const auto& handover : from.shareHandovers)
         writeShareHandover(handover, *to.add_share_handovers());
+    for (const auto& quarantine : from.quarantines) {
+        auto& it = *to.add_quarantines();
+        it.set_fingerprint(quarantine.fingerprint);
+        it.set_age_ms(quarantine.ageMs);
+    }
     return to;
 }
 
@@ -184,6 +189,8 @@
         if (const auto grant = readShareGrant(it); isValid(grant))
             to.shareGrants.push_back(grant);
     }
+    for (const auto& it : from.quarantines())
+        to.quarantines.push_back(relayed_quarantine { it.fingerprint(), it.age_ms() });
     return to;
 }
 
--- a/Tests/Fleet/failure_test.cxx
+++ b/Tests/Fleet/failure_test.cxx
@@ -416,4 +416,35 @@
     CHECK(rate > 0.95 * 55);
 }
 
+// Guards against hosts that send on a request which crashes upstreams, since they were told of its crashes only once.
+TEST_CASE("a host of a busy fleet that is restarted learns which requests the others have quarantined, and the quarantine ends", "[quarantine]")
+{
+    constexpr std::uint64_t fingerprint = 77;
+    constexpr unsigned restarted = 7;
+    fake_fleet fleet(optionsFor(18, 1));
+    waitUntilSettled(fleet);
+    fleet.traffic(0).finishAttempt({ "u0", attempt_result::Crashed, 0, fingerprint }, fleet.now());
+    fleet.traffic(0).finishAttempt({ "u1", attempt_result::Crashed, 0, fingerprint }, fleet.now());
+    // So many other results that no host keeps those two for others.
+    for (const instant end = fleet.now() + 20s; fleet.now() < end; fleet.run(50ms)) {
+        for (unsigned host = 0; host < fleet.size(); ++host)
+            fleet.traffic(host).finishAttempt({ "u2", attempt_result::Good }, fleet.now());
+    }
+    const auto quarantinedCount = [&] {
+        unsigned count = 0;
+        for (unsigned host = 0; host < fleet.size(); ++host)
+            count += fleet.traffic(host).isQuarantined(fingerprint, fleet.now()) ? 1 : 0;
+        return count;
+    };
+    CHECK(quarantinedCount() == fleet.size());
+    fleet.kill(restarted);
+    fleet.restart(restarted);
+    fleet.run(3s);
+    CHECK(fleet.traffic(restarted).isQuarantined(fingerprint, fleet.now()));
+    fleet.run(crash_quarantine_settings {}.quarantineTime - 23s + crash_quarantine_settings {}.maxAgeError);
+    CHECK(quarantinedCount() == 0);
+    fleet.run(60s);
+    CHECK(quarantinedCount() == 0);
+}
+
 } // namespace almondmoor
--- a/Tests/Fleet/fake_fleet.cxx
+++ b/Tests/Fleet/fake_fleet.cxx
@@ -151,6 +151,8 @@
         it.traffic->holder().applyGrant(grant, m_now);
     for (const remote_sample& sample : effects.samples)
         it.traffic->recordRemoteSample(sample.host, sample.dataCentre, sample.sample, m_now);
+    for (const quarantined_request& request : effects.quarantined)
+        it.traffic->recordRemoteQuarantine(request, m_now);
     for (const outgoing_message& message : effects.messages)
         send(host, message);
 }
@@ -161,6 +163,7 @@
     if (!it.isAlive || it.isPaused)
         return;
     it.traffic->tick(m_now);
+    it.member->setQuarantinedRequests(it.traffic->quarantinedRequests(m_now));
     handle(host, it.member->tick(it.traffic->holder().dueReports(m_now), it.traffic->takeSamples(), m_now));
     pollStore(host);
     propose(host);
