Core: A crash that another data centre reports counts at the host that gets the report

Cause: recordPeerReport() passed the sample on to the neighbours, which count the crash, but did not count it itself.

Evidence: the new test of three data centres with one host each ends with 0 of 3 hosts that refuse the request without the change, and 3 of 3 with it.

--- a/Source/Core/dispatch_core.cxx
+++ b/Source/Core/dispatch_core.cxx
@@ -209,6 +209,8 @@
 {
     for (const neighbour_sample& sample : report.failures) {
         m_choice.recordRemoteResult(sample.upstream, sample.result, sample.latency, now, sample.relativeLatency);
+        if (sample.result == attempt_result::Crashed)
+            m_quarantine.recordCrash(sample.fingerprint, sample.upstream, now);
         m_samples.push_back(sample);
     }
     m_quarantine.recordFromDataCentre(report.quarantined, now);
--- a/Tests/Core/fleet_quarantine_test.cxx
+++ b/Tests/Core/fleet_quarantine_test.cxx
@@ -229,6 +229,19 @@
     CHECK(hosts.quarantinedCount() == 0);
 }
 
+// Guards against a host that counts no crash of another data centre, although it tells its neighbours of it, and therefore
+// sends the request to two more upstreams.
+TEST_CASE("a crash counts at the host of another data centre that gets the report of it", "[quarantine]")
+{
+    reporting_hosts hosts(hostsOf({ { "d1", 1 }, { "d2", 1 }, { "d3", 1 } }), 20ms, 0);
+    hosts.run(1s);
+    hosts.crash("d1-0", "u0");
+    hosts.run(2s);
+    hosts.crash("d2-0", "u1");
+    hosts.run(2s);
+    CHECK(hosts.quarantinedCount() == 3);
+}
+
 TEST_CASE("a further crash prolongs a quarantine at all hosts, and a request may be quarantined anew", "[quarantine]")
 {
     reporting_hosts hosts(hostsOf({ { "d1", 3 }, { "d2", 2 } }), 5ms, 0);
