--- a/Source/Core/dispatch_core.cxx
+++ b/Source/Core/dispatch_core.cxx
@@ -15,9 +15,6 @@
     // Fraction of the allowed retry ratio that hosts use. It stays below one because
     // each host counts only its own requests.
     constexpr double usedRetryRatioFraction = 0.9;
-    // Time for which reports repeat a team's total after it changed, so that later
-    // reports make up for a lost one.
-    constexpr duration admittedRepeatTime = std::chrono::seconds(2);
     // A neighbour that sent no report for this long counts as unreachable.
     constexpr duration neighbourTimeout = std::chrono::milliseconds(1500);
     // A neighbour that the platform does not list counts as a member for this long after its latest report.
@@ -239,31 +236,7 @@
     report.host = m_host;
     report.inFlight = m_choice.ownInFlight();
     report.attemptedUpstreams = m_choice.takeStarted();
-    for (const auto& [team, count] : m_quota.takeAdmitted()) {
-        admitted_row& it = m_admitted[team];
-        if (now - it.changedAt > admittedRepeatTime)
-            it.count.totalBeforeSeries = it.count.total;
-        it.count.total += count;
-        it.changedAt = now;
-    }
-    for (const auto& [team, it] : m_admitted) {
-        if (now - it.changedAt <= admittedRepeatTime)
-            report.admitted[team] = it.count;
-    }
-    for (const auto& [team, moved] : m_quota.takeMoved()) {
-        moved_row& it = m_moved[team];
-        if (now - it.changedAt > admittedRepeatTime) {
-            it.total.lentBeforeSeries = it.total.lent;
-            it.total.borrowedBeforeSeries = it.total.borrowed;
-        }
-        it.total.lent += moved.lent;
-        it.total.borrowed += moved.borrowed;
-        it.changedAt = now;
-    }
-    for (const auto& [team, it] : m_moved) {
-        if (now - it.changedAt <= admittedRepeatTime)
-            report.movedTokens[team] = it.total;
-    }
+    m_quotaReports.addTo(report, m_quota, now);
     report.samples = std::move(m_samples);
     m_samples.clear();
     report.quarantined = m_quarantine.takeForNeighbours(m_reachable, now);
@@ -293,26 +266,13 @@
     const bool isNewer = report.incarnation == it.incarnation && report.sequence > it.sequence;
     if (!hasRestarted && !isNewer)
         return;
-    // Requests that a host admitted before its first report to this host don't count, unless
-    // the fleet starts for the first time: the host's part of a bucket is then added to this
-    // host's with that report.
-    const bool isFirst = it.incarnation == 0 && !m_settings.quota.isFirstStart;
-    if (hasRestarted) {
-        it.admitted.clear();
-        it.moved.clear();
-    }
     it.incarnation = report.incarnation;
     it.sequence = report.sequence;
     it.lastReceivedAt = now;
     if (isNewHost && !m_members.empty() && !m_members.count(report.host))
         setMembers(host_map(m_members), now);
-    for (const auto& [team, count] : report.admitted) {
-        std::uint64_t& known = it.admitted.try_emplace(team, isFirst ? count.total : count.totalBeforeSeries).first->second;
-        if (count.total > known)
-            m_quota.recordRemoteAdmissions(team, static_cast<double>(count.total - known), now);
-        known = std::max(known, count.total);
-    }
-    recordMovedTokens(it, report, isFirst, now);
+    // When the fleet starts for the first time, the host's part of a bucket is added to this host's with its first report.
+    m_quotaReports.apply(report, m_settings.quota.isFirstStart, m_quota, now);
     m_choice.setInFlight(report.host, report.inFlight, now);
     for (const std::string& upstream : report.attemptedUpstreams)
         m_choice.recordRemoteStart(upstream, now);
@@ -337,20 +297,6 @@
     tick(now);
 }
 
-void dispatch_core::recordMovedTokens(neighbour_row& neighbour, const neighbour_report& report, bool isFirstReport, instant now)
-{
-    for (const auto& [team, total] : report.movedTokens) {
-        // As with admissions, moves before the first report of a host don't count.
-        const team_quota::moved_tokens unknownBefore { isFirstReport ? total.lent : total.lentBeforeSeries, isFirstReport ? total.borrowed : total.borrowedBeforeSeries };
-        team_quota::moved_tokens& known = neighbour.moved.try_emplace(team, unknownBefore).first->second;
-        if (total.lent > known.lent)
-            m_quota.recordRemoteLending(team, total.lent - known.lent, now);
-        if (total.borrowed > known.borrowed)
-            m_quota.recordRemoteBorrowing(team, total.borrowed - known.borrowed, now);
-        known = { std::max(known.lent, total.lent), std::max(known.borrowed, total.borrowed) };
-    }
-}
-
 void dispatch_core::tick(instant now)
 {
     const auto isReachable = [now](const auto& it) { return now - it.second.lastReceivedAt <= neighbourTimeout; };
--- a/Source/Core/dispatch_core.h
+++ b/Source/Core/dispatch_core.h
@@ -11,6 +11,7 @@
 #include "Core/fleet_quarantine.h"
 #include "Core/neighbour_report.h"
 #include "Core/priority_admission.h"
+#include "Core/quota_reports.h"
 #include "Core/retry_budget.h"
 #include "Core/return_schedule.h"
 #include "Core/serving_config.h"
@@ -199,26 +200,13 @@
     struct neighbour_row {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
-        // Latest known total of admitted requests by team.
-        std::map<std::string, std::uint64_t> admitted;
-        // Latest known totals of moved tokens by team.
-        std::map<std::string, team_quota::moved_tokens> moved;
         instant lastReceivedAt = distantPast;
     };
-    struct moved_row {
-        moved_total total;
-        instant changedAt = distantPast;
-    };
-    struct admitted_row {
-        admitted_count count;
-        instant changedAt = distantPast;
-    };
 
     // Returns the neighbours that sent a report recently.
     std::vector<std::string> reachableNeighbourNames(instant now) const;
     // Decides whether a request of the query's priority may be sent.
     admission_verdict decideAdmission(const choice_query&, bool isRetry, instant now);
-    void recordMovedTokens(neighbour_row&, const neighbour_report&, bool isFirstReport, instant now);
 
     dispatch_settings m_settings;
     std::string m_host;
@@ -229,6 +217,7 @@
     service_losses m_losses;
     evacuation_orders m_evacuations;
     team_quota m_quota;
+    quota_reports m_quotaReports;
     token_lending m_lending;
     retry_budget m_budget;
     fleet_quarantine m_quarantine;
@@ -245,11 +234,6 @@
     std::vector<std::string> m_idleElsewhere;
     // Upstreams that hosts of other data centres could not reach, to be forwarded to the neighbours.
     std::vector<std::string> m_suspectedElsewhere;
-    // Requests admitted since the start, by team. Reports carry totals, so that a
-    // lost report loses no admissions.
-    std::map<std::string, admitted_row> m_admitted;
-    // Tokens that this host moved since the start, by team.
-    std::map<std::string, moved_row> m_moved;
     // Samples for the next report to the neighbours.
     std::vector<neighbour_sample> m_samples;
     // Upstreams that announced to this host that they are leaving, for the next report.
