Proxy: Reports tell the neighbours which requests were lost

Callers would see: a choice of upstreams that weighs only what this host lost, not the data centre.

Change: the core's report is sent as it is, and only the sender is filled in, so that no part can be left out.

--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -312,15 +312,13 @@
     return true;
 }
 
-neighbour_report neighbour_link::makeReport()
+void neighbour_link::setSender(neighbour_report& report) const
 {
     const auto& settings = m_runtime.settings();
-    neighbour_report report;
     report.host = settings.hostName;
     report.dataCentre = settings.dataCentre;
     report.address = settings.peerAddress;
     report.incarnation = m_runtime.incarnation();
-    return report;
 }
 
 void neighbour_link::sendReport()
@@ -332,23 +330,13 @@
     }
     const std::lock_guard lock(m_mutex);
     dispatch_core::peer_report peerReport;
-    neighbour_report state = m_runtime.withCore([&](dispatch_core& it) {
+    neighbour_report report = m_runtime.withCore([&](dispatch_core& it) {
         neighbour_report ownReport = it.takeReport(now);
         peerReport = it.takePeerReport();
         return ownReport;
     });
-    neighbour_report report = makeReport();
+    setSender(report);
     report.sequence = ++m_sequence;
-    report.inFlight = std::move(state.inFlight);
-    report.attemptedUpstreams = std::move(state.attemptedUpstreams);
-    report.idleUpstreams = std::move(state.idleUpstreams);
-    report.admitted = std::move(state.admitted);
-    report.movedTokens = std::move(state.movedTokens);
-    report.samples = std::move(state.samples);
-    report.leavingUpstreams = std::move(state.leavingUpstreams);
-    report.unreachableUpstreams = std::move(state.unreachableUpstreams);
-    report.suspectedUpstreams = std::move(state.suspectedUpstreams);
-    report.quarantined = std::move(state.quarantined);
     if (m_readingHandlers.confirmation)
         report.confirmation = m_readingHandlers.confirmation();
     sendToNeighbours(encodeReport(report, now));
@@ -377,7 +365,8 @@
 {
     for (const neighbour_sample& sample : peerReport.failures)
         logInfo(absl::StrCat("event=upstream-failing upstream=", sample.upstream, " result=", std::string(nameIn(attemptResultNames, sample.result))));
-    neighbour_report report = makeReport();
+    neighbour_report report;
+    setSender(report);
     report.samples = peerReport.failures;
     report.quarantined = peerReport.quarantined;
     report.suspectedUpstreams = peerReport.suspectedUpstreams;
--- a/Source/neighbour_link.h
+++ b/Source/neighbour_link.h
@@ -117,8 +117,8 @@
     // Sends a peer report to one random host of each other data centre. The caller holds
     // m_mutex.
     void sendPeerReport(const dispatch_core::peer_report&);
-    // Returns a report that names this host as the sender and is empty otherwise.
-    neighbour_report makeReport();
+    // Names this host as the sender of a report.
+    void setSender(neighbour_report&) const;
     void sendTo(const membership_entry&, const std::string& bytes);
 
     proxy_runtime& m_runtime;
--- a/Tests/Proxy/fleet_feeds_test.cxx
+++ b/Tests/Proxy/fleet_feeds_test.cxx
@@ -422,6 +422,21 @@
     CHECK(fleet.allReach([](test_host& it) { return it.configVersion() == 1 && it.usesUpstream("u0") && it.runtime.isReady(); }));
 }
 
+// Guards against parts of a host's report that are collected and never sent.
+TEST_CASE("the requests for a service that a host lost count at its neighbours", "[feeds]")
+{
+    constexpr unsigned hosts = 3;
+    test_fleet fleet(hosts);
+    REQUIRE(fleet.allReach([](test_host& it) { return it.runtime.withCore([](dispatch_core& core) { return core.reachableNeighbours() == hosts; }); }));
+    fleet.host(0).runtime.withCore([](dispatch_core& it) {
+        for (const bool isServed : { true, false, true, false })
+            it.recordOutcome({ "orders", 1, isServed, isServed }, presentInstant());
+    });
+    fleet.host(0).link.scheduleReport(update_urgency::High);
+    const auto knowsLosses = [](test_host& it) { return it.runtime.withCore([](dispatch_core& core) { return core.lossShare("orders", presentInstant()) == Approx(0.5); }); };
+    CHECK(fleet.allReach(knowsLosses));
+}
+
 TEST_CASE("all hosts learn of an evacuation, also through a neighbour and after a later start", "[feeds][evacuation]")
 {
     test_fleet fleet(3);
