Proxy: Split the functions that make an attempt and pass on its response

The end of an attempt, the decision to replace a slow one, its words for the log and the passing on of a response are functions of their own now; the words moved to attempt_outcome. Behaviour is unchanged.

--- a/Source/attempt_outcome.cxx
+++ b/Source/attempt_outcome.cxx
@@ -3,6 +3,9 @@
 #include "announcement_headers.h"
 #include "http_status.h"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
 namespace almondmoor {
 
 std::optional<attempt_result> attemptResultOf(exchange_result exchangeResult, const upstream_exchange& exchange, duration elapsed, duration targetLatency)
@@ -31,4 +34,10 @@
     return std::nullopt;
 }
 
+std::string summaryOfAttempt(const std::string& upstream, const choice_result& choice, exchange_result exchangeResult, bool isOnReusedConnection, duration elapsed)
+{
+    return absl::StrCat(upstream, ":", std::string(nameIn(exchangeResultNames, exchangeResult)), ":", wholeMilliseconds(elapsed), "ms", isOnReusedConnection ? ":kept" : ":new", ":",
+        std::string(nameIn(distanceTierNames, choice.tier)), ":inflight=", choice.inFlight, absl::StrFormat(":failing=%.2f", choice.failingProbability), choice.isTrial ? ":trial" : "");
+}
+
 } // namespace almondmoor
--- a/Source/route_handler.cxx
+++ b/Source/route_handler.cxx
@@ -13,7 +13,6 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_format.h>
 #include <algorithm>
 #include <array>
 
@@ -348,18 +347,14 @@
     const bool isBeforeDeadline = exchangeResult == exchange_result::Timeout && presentInstant() < m_deadline;
     bool willRetry = false;
     if (isBeforeDeadline && exchange.canContinueWaiting()) {
-        updateHomes();
-        const bool hasOtherUpstream = m_runtime.withCore([&](dispatch_core& core) { return core.hasOtherUpstream(m_service, m_triedUpstreams, m_homes, presentInstant()); });
-        willRetry = hasOtherUpstream && m_runtime.phase() == stop_phase::Running && tryTakeRetry(retry_reason::ResponseTimeout);
+        willRetry = tryReplaceSlowAttempt();
         if (!willRetry)
             exchangeResult = exchange.continueWaiting(m_outgoing.head.getMethod(), m_client, m_deadline + lateResponseAllowance);
     }
     const duration elapsed = presentInstant() - startedAt;
     m_upstreamTime += elapsed;
     m_lastDetail = exchange.detail();
-    absl::StrAppend(&m_attemptSummary, m_attemptSummary.empty() ? "" : ",", upstream.id, ":", std::string(nameIn(exchangeResultNames, exchangeResult)), ":", wholeMilliseconds(elapsed), "ms",
-        exchange.isOnReusedConnection() ? ":kept" : ":new", ":", std::string(nameIn(distanceTierNames, choice.tier)), ":inflight=", choice.inFlight,
-        absl::StrFormat(":failing=%.2f", choice.failingProbability), choice.isTrial ? ":trial" : "");
+    absl::StrAppend(&m_attemptSummary, m_attemptSummary.empty() ? "" : ",", summaryOfAttempt(upstream.id, choice, exchangeResult, exchange.isOnReusedConnection(), elapsed));
     if (isSendCancelled) {
         m_runtime.withCore([&](dispatch_core& core) { core.release(upstream.id); });
         m_progress.markNotStarted(attemptNumber, false);
@@ -367,6 +362,18 @@
         exchange.cancel();
         return presentInstant() < m_deadline;
     }
+    return endAttempt(upstream, attemptNumber, exchangeResult, exchange, elapsed) || willRetry;
+}
+
+bool route_handler::tryReplaceSlowAttempt()
+{
+    updateHomes();
+    const bool hasOtherUpstream = m_runtime.withCore([&](dispatch_core& core) { return core.hasOtherUpstream(m_service, m_triedUpstreams, m_homes, presentInstant()); });
+    return hasOtherUpstream && m_runtime.phase() == stop_phase::Running && tryTakeRetry(retry_reason::ResponseTimeout);
+}
+
+bool route_handler::endAttempt(const directory_entry& upstream, unsigned attemptNumber, exchange_result exchangeResult, upstream_exchange& exchange, duration elapsed)
+{
     if (exchangeResult == exchange_result::ResponseReceived || exchangeResult == exchange_result::NotStarted)
         recordAnnouncement(upstream, exchange);
 
@@ -397,7 +404,7 @@
     recordAttempt(upstream, exchangeResult, exchange, elapsed);
     m_progress.markLost(attemptNumber);
     exchange.cancel();
-    return handleLoss(exchangeResult) || willRetry;
+    return handleLoss(exchangeResult);
 }
 
 void route_handler::abandonAttempt(unsigned attemptNumber, exchange_result exchangeResult, upstream_exchange& exchange)
@@ -475,7 +482,14 @@
         return true;
     }
     m_progress.markResponded(attemptNumber);
-    forwardResponse(exchange, std::move(bufferedBody), body.isAtEnd());
+    forwardResponse(exchange, body, std::move(bufferedBody), answerDeadline);
+    return false;
+}
+
+void route_handler::forwardResponse(upstream_exchange& exchange, body_reader& body, std::string bufferedBody, instant answerDeadline)
+{
+    const int status = exchange.response().getStatus();
+    sendResponseStart(exchange, std::move(bufferedBody), body.isAtEnd());
     absl::Status forwarded;
     if (!body.isAtEnd())
         forwarded = forwardBody(body, m_client, exchange.framing().kind != body_kind::Length, { answerDeadline, m_runtime.settings().bodyTimeout });
@@ -485,17 +499,16 @@
         m_runtime.counters().add(event::ResponsesAborted);
         m_disposition = connection_disposition::Abort;
         logRequest(status, "answer-aborted");
-        return false;
+        return;
     }
     m_isServed = m_disposition != connection_disposition::Abort && status < serverErrorStatus;
     if (m_disposition != connection_disposition::Abort)
         m_runtime.counters().add(event::ResponsesForwarded);
     exchange.finish();
     logRequest(status, m_disposition == connection_disposition::Abort ? "guest-gone" : "");
-    return false;
 }
 
-void route_handler::forwardResponse(upstream_exchange& exchange, std::string bufferedBody, bool isComplete)
+void route_handler::sendResponseStart(upstream_exchange& exchange, std::string bufferedBody, bool isComplete)
 {
     const bool isChunked = !isComplete && exchange.framing().kind != body_kind::Length;
     if (!m_body.isAtEnd())
--- a/Source/route_handler.h
+++ b/Source/route_handler.h
@@ -42,10 +42,14 @@
     step_result checkMemory();
     void attemptUntilDone();
 
-    // Makes one attempt. This function and the two handlers return whether another attempt should be made.
+    // Makes one attempt. This function, endAttempt() and the two handlers return whether another attempt should be made.
     bool attemptOnce(const directory_entry&, const choice_result&);
+    bool endAttempt(const directory_entry&, unsigned attemptNumber, exchange_result, upstream_exchange&, duration elapsed);
     bool handleResponse(const directory_entry&, unsigned attemptNumber, upstream_exchange&);
     bool handleLoss(exchange_result);
+    // Decides whether the request is sent to another upstream instead of waiting longer for the present one. If so, takes a
+    // retry from the budget.
+    bool tryReplaceSlowAttempt();
     // Records what the upstream announced about itself in the head of its response.
     void recordAnnouncement(const directory_entry&, upstream_exchange&);
     // Counts a trial, or why a due trial was not made.
@@ -64,9 +68,11 @@
     // kept in m_homes.
     void updateHomes();
 
+    // Passes a response on to the client, its body until the deadline, and logs the request.
+    void forwardResponse(upstream_exchange&, body_reader&, std::string bufferedBody, instant answerDeadline);
     // Sends the response's head and the buffered part of its body to the client. The body is complete unless it is too
     // large to buffer; the rest must then follow until the request's deadline.
-    void forwardResponse(upstream_exchange&, std::string bufferedBody, bool isComplete);
+    void sendResponseStart(upstream_exchange&, std::string bufferedBody, bool isComplete);
     // Ends an attempt that failed because the client disconnected or sent an invalid body.
     void abandonAttempt(unsigned attemptNumber, exchange_result, upstream_exchange&);
 
