--- a/Source/Core/reader_choice.h
+++ b/Source/Core/reader_choice.h
@@ -13,6 +13,7 @@
 
 #include "Core/core_time.h"
 #include "Core/name_table.h"
+#include "Core/store_position.h"
 
 #include <array>
 #include <cstdint>
@@ -35,15 +36,15 @@
     { followed_table::Membership, "roster" },
 } };
 
-// Versions of the store, indexed by followed_table.
-using table_versions = std::array<std::uint64_t, followedTableNames.size()>;
+// Positions in the store, indexed by followed_table.
+using table_positions = std::array<store_position, followedTableNames.size()>;
 
 // What a reader reports about the store.
 struct store_confirmation {
     // When the store last responded to the reader.
     instant respondedAt = distantPast;
-    // Version of the store at which each table last changed.
-    table_versions lastChangeVersions {};
+    // Where in the store each table last changed.
+    table_positions lastChanges {};
 };
 
 struct reader_settings {
--- a/Source/Generated/neighbour.pb.cxx
+++ b/Source/Generated/neighbour.pb.cxx
@@ -149,6 +149,8 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.changed_at_)*/{}
   , /*decltype(_impl_._changed_at_cached_byte_size_)*/{0}
+  , /*decltype(_impl_.changed_at_era_)*/{}
+  , /*decltype(_impl_._changed_at_era_cached_byte_size_)*/{0}
   , /*decltype(_impl_.age_ms_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct ConfirmationDefaultTypeInternal {
@@ -198,6 +200,7 @@
   , /*decltype(_impl_.was_away_)*/false
   , /*decltype(_impl_.is_full_table_)*/false
   , /*decltype(_impl_.is_for_data_centre_)*/false
+  , /*decltype(_impl_.era_)*/uint64_t{0u}
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct TableReadingDefaultTypeInternal {
   PROTOBUF_CONSTEXPR TableReadingDefaultTypeInternal()
@@ -212,6 +215,7 @@
     ::_pbi::ConstantInitialized): _impl_{
     /*decltype(_impl_.address_)*/{&::_pbi::fixed_address_empty_string, ::_pbi::ConstantInitialized{}}
   , /*decltype(_impl_.known_version_)*/uint64_t{0u}
+  , /*decltype(_impl_.known_era_)*/uint64_t{0u}
   , /*decltype(_impl_.table_)*/0u
   , /*decltype(_impl_._cached_size_)*/{}} {}
 struct TableRequestDefaultTypeInternal {
@@ -377,6 +381,7 @@
   ~0u,  // no _inlined_string_donated_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Confirmation, _impl_.age_ms_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Confirmation, _impl_.changed_at_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::Confirmation, _impl_.changed_at_era_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::StoredRow, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -407,6 +412,7 @@
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.packed_rows_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.is_full_table_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.is_for_data_centre_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableReading, _impl_.era_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableRequest, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -416,6 +422,7 @@
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableRequest, _impl_.table_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableRequest, _impl_.address_),
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableRequest, _impl_.known_version_),
+  PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TableRequest, _impl_.known_era_),
   ~0u,  // no _has_bits_
   PROTOBUF_FIELD_OFFSET(::almondmoor::wire::TokenRequest, _internal_metadata_),
   ~0u,  // no _extensions_
@@ -465,14 +472,14 @@
   { 47, -1, -1, sizeof(::almondmoor::wire::ServiceOutcomes)},
   { 56, -1, -1, sizeof(::almondmoor::wire::NeighbourReport)},
   { 80, -1, -1, sizeof(::almondmoor::wire::Confirmation)},
-  { 88, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
-  { 98, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
-  { 105, -1, -1, sizeof(::almondmoor::wire::TableReading)},
-  { 118, -1, -1, sizeof(::almondmoor::wire::TableRequest)},
-  { 127, -1, -1, sizeof(::almondmoor::wire::TokenRequest)},
-  { 137, -1, -1, sizeof(::almondmoor::wire::TokenGrant)},
-  { 146, -1, -1, sizeof(::almondmoor::wire::Datagram)},
-  { 158, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
+  { 89, -1, -1, sizeof(::almondmoor::wire::StoredRow)},
+  { 99, -1, -1, sizeof(::almondmoor::wire::StoredRows)},
+  { 106, -1, -1, sizeof(::almondmoor::wire::TableReading)},
+  { 120, -1, -1, sizeof(::almondmoor::wire::TableRequest)},
+  { 130, -1, -1, sizeof(::almondmoor::wire::TokenRequest)},
+  { 140, -1, -1, sizeof(::almondmoor::wire::TokenGrant)},
+  { 149, -1, -1, sizeof(::almondmoor::wire::Datagram)},
+  { 161, -1, -1, sizeof(::almondmoor::wire::RosterEntry)},
 };
 
 static const ::_pb::Message* const file_default_instances[] = {
@@ -521,34 +528,35 @@
   "ed\030\016 \003(\0132\034.almondmoor.wire.MovedTokens\022\032"
   "\n\022quarantined_age_ms\030\017 \003(\r\022\023\n\013unreachabl"
   "e\030\031 \003(\t\022\021\n\tsuspected\030\032 \003(\t\0222\n\010outcomes\030("
-  " \003(\0132 .almondmoor.wire.ServiceOutcomes\"2"
+  " \003(\0132 .almondmoor.wire.ServiceOutcomes\"J"
   "\n\014Confirmation\022\016\n\006age_ms\030\001 \001(\r\022\022\n\nchange"
-  "d_at\030\002 \003(\004\"L\n\tStoredRow\022\013\n\003key\030\001 \001(\t\022\r\n\005"
-  "value\030\002 \001(\014\022\017\n\007version\030\003 \001(\004\022\022\n\nis_remov"
-  "ed\030\004 \001(\010\"6\n\nStoredRows\022(\n\004rows\030\001 \003(\0132\032.a"
-  "lmondmoor.wire.StoredRow\"\227\001\n\014TableReadin"
-  "g\022\r\n\005table\030\001 \001(\r\022\020\n\010was_away\030\002 \001(\010\022\r\n\005af"
-  "ter\030\003 \001(\004\022\017\n\007version\030\004 \001(\004\022\023\n\013packed_row"
-  "s\030\005 \001(\014\022\025\n\ris_full_table\030\006 \001(\010\022\032\n\022is_for"
-  "_data_centre\030\007 \001(\010\"E\n\014TableRequest\022\r\n\005ta"
-  "ble\030\001 \001(\r\022\017\n\007address\030\002 \001(\t\022\025\n\rknown_vers"
-  "ion\030\003 \001(\004\"M\n\014TokenRequest\022\014\n\004team\030\001 \001(\t\022"
-  "\016\n\006tokens\030\002 \001(\001\022\016\n\006number\030\003 \001(\004\022\017\n\007addre"
-  "ss\030\004 \001(\t\":\n\nTokenGrant\022\014\n\004team\030\001 \001(\t\022\016\n\006"
-  "tokens\030\002 \001(\001\022\016\n\006number\030\003 \001(\004\"\231\002\n\010Datagra"
-  "m\0222\n\006report\030\001 \001(\0132 .almondmoor.wire.Neig"
-  "hbourReportH\000\0220\n\007reading\030\002 \001(\0132\035.almondm"
-  "oor.wire.TableReadingH\000\0220\n\007request\030\003 \001(\013"
-  "2\035.almondmoor.wire.TableRequestH\000\0226\n\rtok"
-  "en_request\030\004 \001(\0132\035.almondmoor.wire.Token"
-  "RequestH\000\0222\n\013token_grant\030\005 \001(\0132\033.almondm"
-  "oor.wire.TokenGrantH\000B\t\n\007content\"3\n\013Rost"
-  "erEntry\022\017\n\007address\030\001 \001(\t\022\023\n\013data_centre\030"
-  "\002 \001(\tb\006proto3"
+  "d_at\030\002 \003(\004\022\026\n\016changed_at_era\030\003 \003(\004\"L\n\tSt"
+  "oredRow\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\017\n\007v"
+  "ersion\030\003 \001(\004\022\022\n\nis_removed\030\004 \001(\010\"6\n\nStor"
+  "edRows\022(\n\004rows\030\001 \003(\0132\032.almondmoor.wire.S"
+  "toredRow\"\244\001\n\014TableReading\022\r\n\005table\030\001 \001(\r"
+  "\022\020\n\010was_away\030\002 \001(\010\022\r\n\005after\030\003 \001(\004\022\017\n\007ver"
+  "sion\030\004 \001(\004\022\023\n\013packed_rows\030\005 \001(\014\022\025\n\ris_fu"
+  "ll_table\030\006 \001(\010\022\032\n\022is_for_data_centre\030\007 \001"
+  "(\010\022\013\n\003era\030\010 \001(\004\"X\n\014TableRequest\022\r\n\005table"
+  "\030\001 \001(\r\022\017\n\007address\030\002 \001(\t\022\025\n\rknown_version"
+  "\030\003 \001(\004\022\021\n\tknown_era\030\004 \001(\004\"M\n\014TokenReques"
+  "t\022\014\n\004team\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\001\022\016\n\006numbe"
+  "r\030\003 \001(\004\022\017\n\007address\030\004 \001(\t\":\n\nTokenGrant\022\014"
+  "\n\004team\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\001\022\016\n\006number\030\003"
+  " \001(\004\"\231\002\n\010Datagram\0222\n\006report\030\001 \001(\0132 .almo"
+  "ndmoor.wire.NeighbourReportH\000\0220\n\007reading"
+  "\030\002 \001(\0132\035.almondmoor.wire.TableReadingH\000\022"
+  "0\n\007request\030\003 \001(\0132\035.almondmoor.wire.Table"
+  "RequestH\000\0226\n\rtoken_request\030\004 \001(\0132\035.almon"
+  "dmoor.wire.TokenRequestH\000\0222\n\013token_grant"
+  "\030\005 \001(\0132\033.almondmoor.wire.TokenGrantH\000B\t\n"
+  "\007content\"3\n\013RosterEntry\022\017\n\007address\030\001 \001(\t"
+  "\022\023\n\013data_centre\030\002 \001(\tb\006proto3"
   ;
 static ::_pbi::once_flag descriptor_table_neighbour_2eproto_once;
 const ::_pbi::DescriptorTable descriptor_table_neighbour_2eproto = {
-    false, false, 1973, descriptor_table_protodef_neighbour_2eproto,
+    false, false, 2029, descriptor_table_protodef_neighbour_2eproto,
     "neighbour.proto",
     &descriptor_table_neighbour_2eproto_once, nullptr, 0, 16,
     schemas, file_default_instances, TableStruct_neighbour_2eproto::offsets,
@@ -3077,6 +3085,8 @@
   new (&_impl_) Impl_{
       decltype(_impl_.changed_at_){from._impl_.changed_at_}
     , /*decltype(_impl_._changed_at_cached_byte_size_)*/{0}
+    , decltype(_impl_.changed_at_era_){from._impl_.changed_at_era_}
+    , /*decltype(_impl_._changed_at_era_cached_byte_size_)*/{0}
     , decltype(_impl_.age_ms_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
@@ -3092,6 +3102,8 @@
   new (&_impl_) Impl_{
       decltype(_impl_.changed_at_){arena}
     , /*decltype(_impl_._changed_at_cached_byte_size_)*/{0}
+    , decltype(_impl_.changed_at_era_){arena}
+    , /*decltype(_impl_._changed_at_era_cached_byte_size_)*/{0}
     , decltype(_impl_.age_ms_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
@@ -3109,6 +3121,7 @@
 inline void Confirmation::SharedDtor() {
   GOOGLE_DCHECK(GetArenaForAllocation() == nullptr);
   _impl_.changed_at_.~RepeatedField();
+  _impl_.changed_at_era_.~RepeatedField();
 }
 
 void Confirmation::SetCachedSize(int size) const {
@@ -3122,6 +3135,7 @@
   (void) cached_has_bits;
 
   _impl_.changed_at_.Clear();
+  _impl_.changed_at_era_.Clear();
   _impl_.age_ms_ = 0u;
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
@@ -3151,6 +3165,17 @@
         } else
           goto handle_unusual;
         continue;
+      // repeated uint64 changed_at_era = 3;
+      case 3:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 26)) {
+          ptr = ::PROTOBUF_NAMESPACE_ID::internal::PackedUInt64Parser(_internal_mutable_changed_at_era(), ptr, ctx);
+          CHK_(ptr);
+        } else if (static_cast<uint8_t>(tag) == 24) {
+          _internal_add_changed_at_era(::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr));
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -3195,6 +3220,15 @@
     }
   }
 
+  // repeated uint64 changed_at_era = 3;
+  {
+    int byte_size = _impl_._changed_at_era_cached_byte_size_.load(std::memory_order_relaxed);
+    if (byte_size > 0) {
+      target = stream->WriteUInt64Packed(
+          3, _internal_changed_at_era(), byte_size, target);
+    }
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -3225,6 +3259,20 @@
     total_size += data_size;
   }
 
+  // repeated uint64 changed_at_era = 3;
+  {
+    size_t data_size = ::_pbi::WireFormatLite::
+      UInt64Size(this->_impl_.changed_at_era_);
+    if (data_size > 0) {
+      total_size += 1 +
+        ::_pbi::WireFormatLite::Int32Size(static_cast<int32_t>(data_size));
+    }
+    int cached_size = ::_pbi::ToCachedSize(data_size);
+    _impl_._changed_at_era_cached_byte_size_.store(cached_size,
+                                    std::memory_order_relaxed);
+    total_size += data_size;
+  }
+
   // uint32 age_ms = 1;
   if (this->_internal_age_ms() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_age_ms());
@@ -3249,6 +3297,7 @@
   (void) cached_has_bits;
 
   _this->_impl_.changed_at_.MergeFrom(from._impl_.changed_at_);
+  _this->_impl_.changed_at_era_.MergeFrom(from._impl_.changed_at_era_);
   if (from._internal_age_ms() != 0) {
     _this->_internal_set_age_ms(from._internal_age_ms());
   }
@@ -3270,6 +3319,7 @@
   using std::swap;
   _internal_metadata_.InternalSwap(&other->_internal_metadata_);
   _impl_.changed_at_.InternalSwap(&other->_impl_.changed_at_);
+  _impl_.changed_at_era_.InternalSwap(&other->_impl_.changed_at_era_);
   swap(_impl_.age_ms_, other->_impl_.age_ms_);
 }
 
@@ -3795,6 +3845,7 @@
     , decltype(_impl_.was_away_){}
     , decltype(_impl_.is_full_table_){}
     , decltype(_impl_.is_for_data_centre_){}
+    , decltype(_impl_.era_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
   _internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
@@ -3807,8 +3858,8 @@
       _this->GetArenaForAllocation());
   }
   ::memcpy(&_impl_.after_, &from._impl_.after_,
-    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.is_for_data_centre_) -
-    reinterpret_cast<char*>(&_impl_.after_)) + sizeof(_impl_.is_for_data_centre_));
+    static_cast<size_t>(reinterpret_cast<char*>(&_impl_.era_) -
+    reinterpret_cast<char*>(&_impl_.after_)) + sizeof(_impl_.era_));
   // @@protoc_insertion_point(copy_constructor:almondmoor.wire.TableReading)
 }
 
@@ -3824,6 +3875,7 @@
     , decltype(_impl_.was_away_){false}
     , decltype(_impl_.is_full_table_){false}
     , decltype(_impl_.is_for_data_centre_){false}
+    , decltype(_impl_.era_){uint64_t{0u}}
     , /*decltype(_impl_._cached_size_)*/{}
   };
   _impl_.packed_rows_.InitDefault();
@@ -3858,8 +3910,8 @@
 
   _impl_.packed_rows_.ClearToEmpty();
   ::memset(&_impl_.after_, 0, static_cast<size_t>(
-      reinterpret_cast<char*>(&_impl_.is_for_data_centre_) -
-      reinterpret_cast<char*>(&_impl_.after_)) + sizeof(_impl_.is_for_data_centre_));
+      reinterpret_cast<char*>(&_impl_.era_) -
+      reinterpret_cast<char*>(&_impl_.after_)) + sizeof(_impl_.era_));
   _internal_metadata_.Clear<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>();
 }
 
@@ -3926,6 +3978,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint64 era = 8;
+      case 8:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 64)) {
+          _impl_.era_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -3997,6 +4057,12 @@
     target = ::_pbi::WireFormatLite::WriteBoolToArray(7, this->_internal_is_for_data_centre(), target);
   }
 
+  // uint64 era = 8;
+  if (this->_internal_era() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(8, this->_internal_era(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -4050,6 +4116,11 @@
     total_size += 1 + 1;
   }
 
+  // uint64 era = 8;
+  if (this->_internal_era() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_era());
+  }
+
   return MaybeComputeUnknownFieldsSize(total_size, &_impl_._cached_size_);
 }
 
@@ -4089,6 +4160,9 @@
   if (from._internal_is_for_data_centre() != 0) {
     _this->_internal_set_is_for_data_centre(from._internal_is_for_data_centre());
   }
+  if (from._internal_era() != 0) {
+    _this->_internal_set_era(from._internal_era());
+  }
   _this->_internal_metadata_.MergeFrom<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(from._internal_metadata_);
 }
 
@@ -4113,8 +4187,8 @@
       &other->_impl_.packed_rows_, rhs_arena
   );
   ::PROTOBUF_NAMESPACE_ID::internal::memswap<
-      PROTOBUF_FIELD_OFFSET(TableReading, _impl_.is_for_data_centre_)
-      + sizeof(TableReading::_impl_.is_for_data_centre_)
+      PROTOBUF_FIELD_OFFSET(TableReading, _impl_.era_)
+      + sizeof(TableReading::_impl_.era_)
       - PROTOBUF_FIELD_OFFSET(TableReading, _impl_.after_)>(
           reinterpret_cast<char*>(&_impl_.after_),
           reinterpret_cast<char*>(&other->_impl_.after_));
@@ -4144,6 +4218,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.address_){}
     , decltype(_impl_.known_version_){}
+    , decltype(_impl_.known_era_){}
     , decltype(_impl_.table_){}
     , /*decltype(_impl_._cached_size_)*/{}};
 
@@ -4169,6 +4244,7 @@
   new (&_impl_) Impl_{
       decltype(_impl_.address_){}
     , decltype(_impl_.known_version_){uint64_t{0u}}
+    , decltype(_impl_.known_era_){uint64_t{0u}}
     , decltype(_impl_.table_){0u}
     , /*decltype(_impl_._cached_size_)*/{}
   };
@@ -4241,6 +4317,14 @@
         } else
           goto handle_unusual;
         continue;
+      // uint64 known_era = 4;
+      case 4:
+        if (PROTOBUF_PREDICT_TRUE(static_cast<uint8_t>(tag) == 32)) {
+          _impl_.known_era_ = ::PROTOBUF_NAMESPACE_ID::internal::ReadVarint64(&ptr);
+          CHK_(ptr);
+        } else
+          goto handle_unusual;
+        continue;
       default:
         goto handle_unusual;
     }  // switch
@@ -4292,6 +4376,12 @@
     target = ::_pbi::WireFormatLite::WriteUInt64ToArray(3, this->_internal_known_version(), target);
   }
 
+  // uint64 known_era = 4;
+  if (this->_internal_known_era() != 0) {
+    target = stream->EnsureSpace(target);
+    target = ::_pbi::WireFormatLite::WriteUInt64ToArray(4, this->_internal_known_era(), target);
+  }
+
   if (PROTOBUF_PREDICT_FALSE(_internal_metadata_.have_unknown_fields())) {
     target = ::_pbi::WireFormat::InternalSerializeUnknownFieldsToArray(
         _internal_metadata_.unknown_fields<::PROTOBUF_NAMESPACE_ID::UnknownFieldSet>(::PROTOBUF_NAMESPACE_ID::UnknownFieldSet::default_instance), target, stream);
@@ -4320,6 +4410,11 @@
     total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_known_version());
   }
 
+  // uint64 known_era = 4;
+  if (this->_internal_known_era() != 0) {
+    total_size += ::_pbi::WireFormatLite::UInt64SizePlusOne(this->_internal_known_era());
+  }
+
   // uint32 table = 1;
   if (this->_internal_table() != 0) {
     total_size += ::_pbi::WireFormatLite::UInt32SizePlusOne(this->_internal_table());
@@ -4349,6 +4444,9 @@
   if (from._internal_known_version() != 0) {
     _this->_internal_set_known_version(from._internal_known_version());
   }
+  if (from._internal_known_era() != 0) {
+    _this->_internal_set_known_era(from._internal_known_era());
+  }
   if (from._internal_table() != 0) {
     _this->_internal_set_table(from._internal_table());
   }
--- a/Source/Platform/table_follower.h
+++ b/Source/Platform/table_follower.h
@@ -2,8 +2,11 @@
 // and discarded change history. Changes and full tables that a neighbour has read from the store can be applied as
 // well.
 //
-// Each call of step() makes one call to the store, or two if the store has discarded the history, and returns the delay
-// before the next one. The follower has no clock and no thread of its own. All member functions may be called from any
+// If the store comes back from an older copy, the table is read whole again and replaces the known one, although its
+// version may be lower. What was read in an earlier era of the store never replaces a table of a later one.
+//
+// Each call of step() makes one call to the store, or two if the store has discarded the history or has come back from an
+// older copy, and returns the delay before the next one. The follower has no clock and no thread of its own. All member functions may be called from any
 // thread, but step() from only one at a time.
 
 #pragma once
@@ -11,7 +14,6 @@
 #include "Platform/table_store.h"
 
 #include <algorithm>
-#include <atomic>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -34,8 +36,8 @@
     // Called with each update that holds rows, read by this host or by a neighbour, and with the first update after an
     // outage even if nothing changed. The calls come in the order of the versions.
     std::function<void(const table_update&)> onUpdate;
-    // Called with the changes that this host has read, so that it can relay them to neighbours. Not called with the
-    // full table. Optional.
+    // Called with the changes that this host has read, so that it can relay them to neighbours. Called with the full
+    // table only if the store has come back from an older copy. Optional.
     std::function<void(const table_update&)> onChangesRead;
     // Called at the first failure after a success or after the start, with its reason. Further consecutive failures
     // are not reported.
@@ -68,13 +70,18 @@
     // Reads what is new. While nothing changes, the store may delay its response for up to maxWait.
     follower_step step(duration maxWait)
     {
-        const read_position from = position();
+        const read_start from = nextRead();
         bool isFullTable = from.isFullTable;
-        store_response response = isFullTable ? m_store.readTable(m_settings.table) : m_store.readChanges(m_settings.table, from.after, maxWait);
-        if (response.result == store_result::HistoryGone) {
+        store_response response = isFullTable ? m_store.readTable(m_settings.table) : m_store.readChanges(m_settings.table, from.after.version, maxWait);
+        // Changes after a version of an earlier era lack what happened below that version since.
+        const bool isOfLaterEra = response.result == store_result::Done && response.position.era > from.after.era;
+        if (response.result == store_result::HistoryGone || (isOfLaterEra && !isFullTable)) {
             isFullTable = true;
             response = m_store.readTable(m_settings.table);
         }
+        response.position = withEra(response.position, from.after.era);
+        if (response.result == store_result::Done && response.position.era < from.after.era)
+            response = { store_result::BadResponse, {}, {}, absl::DataLossError("the store's era fell") };
         const std::lock_guard lock(m_mutex);
         m_needsFullRead = m_needsFullRead || isFullTable;
         if (response.result != store_result::Done)
@@ -82,53 +89,58 @@
         const bool isFirstAfterOutage = recordSuccess();
         const bool hasUpdates = isFullTable || !response.rows.empty();
         // A later update from a neighbour may have been applied during the call.
-        const bool isOutdated = !m_needsFullRead && response.version < m_version;
+        const bool isOutdated = response.position.era < m_position.era || (!m_needsFullRead && response.position < m_position);
         if (isOutdated)
             return { true, false, duration::zero(), {} };
-        table_update update { isFullTable, isFirstAfterOutage, std::move(response.rows), m_lastChangedVersion, response.version };
+        table_update update { isFullTable, isFirstAfterOutage, std::move(response.rows), lastChanged(), response.position, false };
+        update.isRewound = isRewound(update);
         if (hasUpdates)
-            m_lastChangedVersion = response.version;
+            setLastChanged(response.position);
         keepRows(update);
         if (hasUpdates || isFirstAfterOutage)
             m_events.onUpdate(update);
-        if (hasUpdates && !isFullTable && m_events.onChangesRead)
+        if (hasUpdates && (!isFullTable || update.isRewound) && m_events.onChangesRead)
             m_events.onChangesRead(update);
         return { true, hasUpdates, hasUpdates ? m_settings.delayAfterChanges : duration::zero(), isFullTable ? std::vector<std::uint64_t> {} : versionsOf(update) };
     }
 
     // Applies changes or a full table that a neighbour has read. Returns false if these contain nothing new or, for
     // changes, if changes between the version known here and these are missing or the full table is not known yet.
-    bool applyNeighbourUpdate(const table_update& update)
+    bool applyNeighbourUpdate(table_update update)
     {
         const std::lock_guard lock(m_mutex);
-        const bool isNewer = update.version > m_version || (update.isFullTable && m_needsFullRead && update.version >= m_version);
-        const bool isConnected = update.isFullTable || (!m_needsFullRead && update.after <= m_version);
+        update.position = withEra(update.position, m_position.era);
+        update.after = withEra(update.after, m_position.era);
+        const bool isNewer = update.position > m_position || (update.isFullTable && m_needsFullRead && update.position >= m_position);
+        const bool isOfSameEra = update.position.era == m_position.era && update.after.era == m_position.era;
+        const bool isConnected = update.isFullTable || (!m_needsFullRead && isOfSameEra && update.after <= m_position);
         if (!isNewer || !isConnected)
             return false;
-        m_lastChangedVersion = update.version;
+        update.isRewound = isRewound(update);
+        setLastChanged(update.position);
         keepRows(update);
         m_events.onUpdate(update);
         return true;
     }
 
     // Returns all rows as known here, or nothing before the full table is known or if it has not changed after the given
-    // version.
-    std::optional<table_update> fullTable(std::uint64_t knownVersion = 0) const
+    // position.
+    std::optional<table_update> fullTable(const store_position& known = {}) const
     {
         const std::lock_guard lock(m_mutex);
-        if (m_needsFullRead || (knownVersion > 0 && m_lastChangedVersion <= knownVersion))
+        if (m_needsFullRead || (known.version > 0 && lastChanged() <= withEra(known, m_position.era)))
             return std::nullopt;
-        table_update update { true, false, {}, 0, m_version };
+        table_update update { true, false, {}, {}, m_position, false };
         for (const auto& [key, row] : m_rows)
             update.rows.push_back(row);
         return update;
     }
 
-    // Returns whether the table lacks changes here, given the version at which the table last changed.
-    bool isBehind(std::uint64_t lastChangedVersion) const
+    // Returns whether the table lacks changes here, given the position at which the table last changed.
+    bool isBehind(const store_position& lastChange) const
     {
         const std::lock_guard lock(m_mutex);
-        return m_needsFullRead || m_version < lastChangedVersion;
+        return m_needsFullRead || m_position < withEra(lastChange, m_position.era);
     }
 
     // Returns whether the full table is not known.
@@ -138,26 +150,39 @@
         return m_needsFullRead;
     }
 
-    // Returns the version of the store up to which the table is known, also if its history was discarded since.
-    std::uint64_t version() const
+    // Returns the position in the store up to which the table is known, also if its history was discarded since.
+    store_position position() const
     {
         const std::lock_guard lock(m_mutex);
-        return m_version;
+        return m_position;
     }
 
-    // Returns the version of the latest update that held rows or the full table.
-    std::uint64_t lastChangedVersion() const { return m_lastChangedVersion; }
+    // Returns the position of the latest update that held rows or the full table.
+    store_position lastChanged() const
+    {
+        const std::lock_guard lock(m_lastChangedMutex);
+        return m_lastChanged;
+    }
 
 private:
-    struct read_position {
+    struct read_start {
         bool isFullTable = true;
-        std::uint64_t after = 0;
+        store_position after;
     };
 
-    read_position position() const
+    read_start nextRead() const
     {
         const std::lock_guard lock(m_mutex);
-        return { m_needsFullRead, m_version };
+        return { m_needsFullRead, m_position };
+    }
+
+    // Returns whether an update replaces a table of an earlier era.
+    bool isRewound(const table_update& update) const { return update.isFullTable && m_position.version > 0 && m_position.era < update.position.era; }
+
+    void setLastChanged(const store_position& it)
+    {
+        const std::lock_guard lock(m_lastChangedMutex);
+        m_lastChanged = it;
     }
 
     static std::vector<std::uint64_t> versionsOf(const table_update& update)
@@ -168,7 +193,7 @@
         return versions;
     }
 
-    // Takes over the rows and the version of an update, after which the full table is known.
+    // Takes over the rows and the position of an update, after which the full table is known.
     void keepRows(const table_update& update)
     {
         if (update.isFullTable)
@@ -179,7 +204,7 @@
             else
                 m_rows[row.key] = row;
         }
-        m_version = update.version;
+        m_position = update.position;
         m_needsFullRead = false;
     }
 
@@ -211,11 +236,12 @@
     std::mt19937_64 m_random;
     mutable std::mutex m_mutex;
     bool m_needsFullRead = true;
-    std::uint64_t m_version = 0;
-    // The table as of m_version, by key. Empty before the full table is known.
+    store_position m_position;
+    // The table as of m_position, by key. Empty before the full table is known.
     std::map<std::string, stored_row> m_rows;
-    // Atomic because it is read without the mutex, which is held while the events' functions are called.
-    std::atomic<std::uint64_t> m_lastChangedVersion { 0 };
+    // Has a mutex of its own because it is read while m_mutex is held and the events' functions are called.
+    mutable std::mutex m_lastChangedMutex;
+    store_position m_lastChanged;
     unsigned m_failures = 0;
 };
 
--- a/Source/Platform/table_store.h
+++ b/Source/Platform/table_store.h
@@ -5,6 +5,7 @@
 
 #include "Core/core_time.h"
 #include "Core/name_table.h"
+#include "Core/store_position.h"
 
 #include <absl/status/status.h>
 #include <concepts>
@@ -53,8 +54,8 @@
 struct store_response {
     store_result result = store_result::Unreachable;
     std::vector<stored_row> rows;
-    // Version of the store up to which the rows are complete; the next read of changes continues from here.
-    std::uint64_t version = 0;
+    // Position in the store up to which the rows are complete; the next read of changes continues from here.
+    store_position position;
     absl::Status error;
 };
 
@@ -65,10 +66,13 @@
     // True if this is the first successful read after the store could not be read.
     bool isFirstAfterOutage = false;
     std::vector<stored_row> rows;
-    // The rows are the changes after the version `after` and up to and including `version`. If isFullTable is
-    // set, `after` does not limit the rows.
-    std::uint64_t after = 0;
-    std::uint64_t version = 0;
+    // The rows are the changes after the position `after` and up to and including `position`, which is of the same era. If
+    // isFullTable is set, `after` does not limit the rows.
+    store_position after;
+    store_position position;
+    // True if the rows are the full table of a store that came back from an older copy: rows that were known may be
+    // missing, and rows that were removed may be back, until their writers have written again.
+    bool isRewound = false;
 };
 
 template <typename Store>
--- a/Source/fleet_feeds.h
+++ b/Source/fleet_feeds.h
@@ -69,7 +69,7 @@
             { [this](const std::string& host, const auto& confirmation) { recordNeighbourReport(host, confirmation); },
                 [this](const table_reading& it) { applyReading(it); },
                 [this] { return ownConfirmation(); },
-                [this](followed_table table, std::uint64_t knownVersion) { return m_reader[table].fullTable(knownVersion); },
+                [this](followed_table table, const store_position& known) { return m_reader[table].fullTable(known); },
                 [this](instant now) {
                     updateConfirmationAge(now);
                     requestTables(now);
@@ -119,7 +119,11 @@
     {
         const std::string name = settings.table;
         follower_events events;
-        events.onUpdate = std::move(updated);
+        events.onUpdate = [this, table, updated = std::move(updated)](const table_update& update) {
+            if (update.isRewound)
+                recordRewind(table, update);
+            updated(update);
+        };
         events.onChangesRead = [this, table](const table_update& update) { m_link.relayReading({ table, update }); };
         events.onStoreLost = [this, name](store_result result, const absl::Status& error) {
             m_runtime.counters().add(event::StoreReadFailures);
@@ -130,6 +134,16 @@
         return std::make_unique<follower>(m_source.openStore(), std::move(settings), std::move(events), seed);
     }
 
+    // Tells operators that the store came back from an older copy, and in how many rows.
+    void recordRewind(followed_table table, const table_update& update)
+    {
+        m_runtime.counters().set(gauge::StoreEra, update.position.era);
+        logWarning(absl::StrCat("event=store-rewound table=", std::string(nameIn(followedTableNames, table)), positionFields(update.position), " rows=", update.rows.size()));
+        // A host that does not read the store may have to write its entry again.
+        if (table == followed_table::Membership)
+            wakeUp();
+    }
+
     void run()
     {
         readAllTables();
@@ -154,7 +168,7 @@
         if (!m_reader[reading.table].applyNeighbourUpdate(reading.update))
             return;
         logInfo(absl::StrCat("event=table-relayed table=", std::string(nameIn(followedTableNames, reading.table)), " full=", reading.update.isFullTable ? "yes" : "no",
-            " after=", reading.update.after, " version=", reading.update.version));
+            " after=", reading.update.after.version, positionFields(reading.update.position)));
         if (reading.isForDataCentre)
             m_link.relayReading({ reading.table, reading.update });
     }
@@ -162,15 +176,15 @@
     // Asks other hosts for tables that neither the store nor a neighbour that reads it provides.
     void requestTables(instant now)
     {
-        const table_versions versions = m_reader.knownVersions();
-        const bool lacksTable = std::count(versions.begin(), versions.end(), std::uint64_t { 0 }) > 0;
+        const table_positions positions = m_reader.knownPositions();
+        const bool lacksTable = std::any_of(positions.begin(), positions.end(), [](const store_position& it) { return it.version == 0; });
         const table_request_schedule::knowledge known { lacksTable, m_lastConfirmedAt, m_runtime.withCore([](dispatch_core& it) { return it.knownNeighbours(); }) };
         const table_source source = m_requestSchedule.next(known, now);
         if (source == table_source::None)
             return;
         // A host that starts may know only neighbours, from their reports, or only hosts of other data centres.
-        if (!m_link.requestTables(source, versions))
-            m_link.requestTables(source == table_source::Neighbour ? table_source::OtherDataCentre : table_source::Neighbour, versions);
+        if (!m_link.requestTables(source, positions))
+            m_link.requestTables(source == table_source::Neighbour ? table_source::OtherDataCentre : table_source::Neighbour, positions);
     }
 
     // Updates the gauge and logs when this host begins and ceases to rely on tables that no reader confirms.
@@ -260,7 +274,7 @@
         const instant now = presentInstant();
         std::vector<followed_table> behind;
         for (const auto& [table, name] : followedTableNames) {
-            if (m_reader[table].isBehind(neighbour.confirmation.lastChangeVersions[static_cast<std::size_t>(table)]))
+            if (m_reader[table].isBehind(neighbour.confirmation.lastChanges[static_cast<std::size_t>(table)]))
                 behind.push_back(table);
         }
         if (behind.empty()) {
@@ -291,10 +305,16 @@
             const auto before = it.latestReader(now);
             it.recordNeighbour(host, confirmation, now);
             const auto after = it.latestReader(now);
-            return before.has_value() != after.has_value() || (after && after->confirmation.lastChangeVersions != before->confirmation.lastChangeVersions);
+            return before.has_value() != after.has_value() || (after && after->confirmation.lastChanges != before->confirmation.lastChanges);
         });
         if (!isUpdate)
             return;
+        wakeUp();
+    }
+
+    // Ends waitForUpdates().
+    void wakeUp()
+    {
         {
             const std::lock_guard lock(m_mutex);
             m_hasUpdates = true;
@@ -307,7 +327,7 @@
         const auto confirmedAt = withReaderChoice([](reader_choice& it) { return it.ownConfirmation(presentInstant()); });
         if (m_runtime.phase() != stop_phase::Running || !confirmedAt)
             return std::nullopt;
-        return store_confirmation { *confirmedAt, m_reader.lastChangedVersions() };
+        return store_confirmation { *confirmedAt, m_reader.lastChanges() };
     }
 
     template <typename Function>
@@ -330,7 +350,8 @@
         const std::string& prefix = m_source.evacuationKeyPrefix;
         if (prefix.empty())
             return;
-        evacuation_update evacuations { update.isFullTable, {} };
+        // The copy from which a store came back may lack an order that stands. The operators write it again.
+        evacuation_update evacuations { update.isFullTable && !update.isRewound, {} };
         for (const stored_row& row : update.rows) {
             if (row.key.size() > prefix.size() && row.key.compare(0, prefix.size(), prefix) == 0)
                 evacuations.changes.push_back({ row.key.substr(prefix.size()), row.version, row.isRemoved });
@@ -358,7 +379,8 @@
 
     void applyMembershipRows(const table_update& update)
     {
-        if (update.isFullTable)
+        // The copy from which a store came back may lack members, which write their rows again.
+        if (update.isFullTable && !update.isRewound)
             m_membership.clear();
         for (const stored_row& row : update.rows) {
             const auto entry = row.isRemoved ? std::nullopt : decodeMembershipEntry(row.value);
@@ -368,8 +390,12 @@
                 m_membership.erase(row.key);
         }
         const std::string& own = m_runtime.settings().hostName;
-        const auto found = m_membership.find(own);
-        m_mustWriteOwnEntry = found == m_membership.end() || found->second != ownEntry();
+        const auto ownRow = std::find_if(update.rows.rbegin(), update.rows.rend(), [&own](const stored_row& row) { return row.key == own; });
+        const bool hasOwnRow = ownRow != update.rows.rend();
+        if (hasOwnRow)
+            m_mustWriteOwnEntry = ownRow->isRemoved || decodeMembershipEntry(ownRow->value) != ownEntry();
+        else if (update.isFullTable)
+            m_mustWriteOwnEntry = true;
         m_membership[own] = ownEntry();
         m_runtime.applyMembership(m_membership);
         m_link.applyMembership(m_membership);
--- a/Source/metrics.h
+++ b/Source/metrics.h
@@ -111,16 +111,19 @@
     // How long ago the store last confirmed, to this host or to a neighbour, that the tables known here are complete.
     StoreConfirmationAgeMs,
     // Requests that are refused at present because they crashed upstreams.
-    RequestsQuarantined
+    RequestsQuarantined,
+    // Era of the store since it last came back from an older copy; zero if it has not while this host ran.
+    StoreEra
 };
 
-inline constexpr name_table<gauge, 6> gaugeNames { {
+inline constexpr name_table<gauge, 7> gaugeNames { {
     { gauge::MemoryHeldBytes, "memory_held_bytes" },
     { gauge::MemoryLimitBytes, "memory_limit_bytes" },
     { gauge::DataCentresEvacuated, "data_centres_evacuated" },
     { gauge::UpstreamsEvacuated, "upstreams_evacuated" },
     { gauge::StoreConfirmationAgeMs, "store_confirmation_age_ms" },
     { gauge::RequestsQuarantined, "requests_quarantined" },
+    { gauge::StoreEra, "store_era" },
 } };
 
 // Requests of one team.
--- a/Source/neighbour_codec.cxx
+++ b/Source/neighbour_codec.cxx
@@ -59,17 +59,22 @@
     void encodeConfirmation(const store_confirmation& confirmation, instant now, wire::Confirmation& out)
     {
         out.set_age_ms(nonNegativeMilliseconds(now - confirmation.respondedAt));
-        for (const std::uint64_t version : confirmation.lastChangeVersions)
-            out.add_changed_at(version);
+        for (const store_position& it : confirmation.lastChanges) {
+            out.add_changed_at(it.version);
+            out.add_changed_at_era(it.era);
+        }
     }
 
     std::optional<store_confirmation> decodeConfirmation(const wire::Confirmation& in, instant now)
     {
         store_confirmation confirmation;
-        if (in.changed_at_size() != static_cast<int>(confirmation.lastChangeVersions.size()))
+        if (in.changed_at_size() != static_cast<int>(confirmation.lastChanges.size()))
             return std::nullopt;
         confirmation.respondedAt = now - std::chrono::milliseconds(in.age_ms());
-        std::copy(in.changed_at().begin(), in.changed_at().end(), confirmation.lastChangeVersions.begin());
+        for (int index = 0; index < in.changed_at_size(); ++index) {
+            const std::uint64_t era = index < in.changed_at_era_size() ? in.changed_at_era(index) : 0;
+            confirmation.lastChanges[static_cast<std::size_t>(index)] = { era, in.changed_at(index) };
+        }
         return confirmation;
     }
 
@@ -122,8 +127,8 @@
         reading.table = static_cast<followed_table>(in.table());
         reading.update.isFullTable = in.is_full_table();
         reading.update.isFirstAfterOutage = in.was_away();
-        reading.update.after = in.after();
-        reading.update.version = in.version();
+        reading.update.after = { in.era(), in.after() };
+        reading.update.position = { in.era(), in.version() };
         reading.isForDataCentre = in.is_for_data_centre();
         for (const auto& row : rows.rows())
             reading.update.rows.push_back({ row.key(), row.value(), row.version(), row.is_removed() });
@@ -134,7 +139,7 @@
     {
         if (in.table() >= followedTableNames.size() || in.address().empty())
             return std::nullopt;
-        return table_request { static_cast<followed_table>(in.table()), in.address(), in.known_version() };
+        return table_request { static_cast<followed_table>(in.table()), in.address(), { in.known_era(), in.known_version() } };
     }
 
     std::optional<neighbour_datagram> decodeTokenRequest(const wire::TokenRequest& in)
@@ -225,8 +230,9 @@
     out.set_table(static_cast<std::uint32_t>(reading.table));
     out.set_is_full_table(reading.update.isFullTable);
     out.set_was_away(reading.update.isFirstAfterOutage);
-    out.set_after(reading.update.after);
-    out.set_version(reading.update.version);
+    out.set_after(reading.update.after.version);
+    out.set_version(reading.update.position.version);
+    out.set_era(reading.update.position.era);
     out.set_is_for_data_centre(reading.isForDataCentre);
     wire::StoredRows rows;
     for (const stored_row& row : reading.update.rows) {
@@ -246,7 +252,8 @@
     wire::TableRequest& out = *datagram.mutable_request();
     out.set_table(static_cast<std::uint32_t>(request.table));
     out.set_address(request.address);
-    out.set_known_version(request.knownVersion);
+    out.set_known_version(request.known.version);
+    out.set_known_era(request.known.era);
     return datagram.SerializeAsString();
 }
 
--- a/Source/neighbour_codec.h
+++ b/Source/neighbour_codec.h
@@ -26,9 +26,9 @@
 struct table_request {
     followed_table table = followed_table::ServingConfig;
     std::string address;
-    // Version of the store up to which the asking host knows the table, or zero if it lacks it. Only a table that changed
-    // later is sent.
-    std::uint64_t knownVersion = 0;
+    // Position in the store up to which the asking host knows the table; its version is zero if it lacks the table. Only a
+    // table that changed later is sent.
+    store_position known;
 };
 
 // A request for tokens, and the address of the form IP-NUMBER:PORT that gets the grant.
--- a/Source/neighbour_link.cxx
+++ b/Source/neighbour_link.cxx
@@ -201,7 +201,7 @@
         const std::lock_guard lock(m_mutex);
         return m_readingHandlers.fullTable;
     }();
-    const auto update = fullTable ? fullTable(request.table, request.knownVersion) : std::nullopt;
+    const auto update = fullTable ? fullTable(request.table, request.known) : std::nullopt;
     if (!update)
         return;
     const std::lock_guard lock(m_mutex);
@@ -277,7 +277,7 @@
     const std::lock_guard lock(m_mutex);
     const auto found = m_hosts.find(host);
     if (found != m_hosts.end())
-        sendTo(found->second, encodeRequest({ table, m_runtime.settings().peerAddress, 0 }));
+        sendTo(found->second, encodeRequest({ table, m_runtime.settings().peerAddress, {} }));
 }
 
 const membership_entry* neighbour_link::chooseHost(table_source source)
@@ -299,7 +299,7 @@
     return hosts.empty() ? nullptr : &m_hosts.at(hosts[m_random() % hosts.size()]);
 }
 
-bool neighbour_link::requestTables(table_source source, const table_versions& knownVersions)
+bool neighbour_link::requestTables(table_source source, const table_positions& known)
 {
     const std::lock_guard lock(m_mutex);
     const membership_entry* host = chooseHost(source);
@@ -308,7 +308,7 @@
     m_runtime.counters().add(event::TableRequestsSent);
     logInfo(absl::StrCat("event=tables-requested from=", std::string(nameIn(tableSourceNames, source)), " host=", host->address, " data_centre=", host->dataCentre));
     for (const auto& [table, name] : followedTableNames)
-        sendTo(*host, encodeRequest({ table, m_runtime.settings().peerAddress, knownVersions[static_cast<std::size_t>(table)] }));
+        sendTo(*host, encodeRequest({ table, m_runtime.settings().peerAddress, known[static_cast<std::size_t>(table)] }));
     return true;
 }
 
--- a/Source/neighbour_link.h
+++ b/Source/neighbour_link.h
@@ -40,8 +40,8 @@
     // Returns the confirmation to send in reports, or nullopt if this host has none.
     std::function<std::optional<store_confirmation>()> confirmation;
     // Returns a whole table for a host that asked for it, or nullopt if it is not known or has not changed after the
-    // version that the host knows.
-    std::function<std::optional<table_update>(followed_table, std::uint64_t knownVersion)> fullTable;
+    // position that the host knows.
+    std::function<std::optional<table_update>(followed_table, const store_position& known)> fullTable;
     // Called at each tick of the link's thread.
     std::function<void(instant now)> tick;
 };
@@ -75,8 +75,8 @@
     void requestTable(const std::string& host, followed_table);
 
     // Asks one random host of this data centre, or of another one, for those tables that changed after the given
-    // versions of the store, indexed by followed_table. Returns false if no such host is known.
-    bool requestTables(table_source, const table_versions&);
+    // positions in the store, indexed by followed_table. Returns false if no such host is known.
+    bool requestTables(table_source, const table_positions&);
 
     // Records that there is an update to report. Sends the report immediately if the update
     // is urgent and the last report is not too recent; otherwise the thread sends the report
--- a/Source/proxy_runtime.cxx
+++ b/Source/proxy_runtime.cxx
@@ -110,18 +110,21 @@
         auto record = decode(row, now);
         if (record.ok())
             record->entry.rowVersion = row.version;
-        if (!applyUpstream(row, record, !update.isFullTable))
+        if (!applyUpstream(row, record, update, now))
             rejected.push_back(row.key);
     }
     m_registry.removeAll(rejected, now);
     if (update.isFullTable) {
-        m_registry.keepOnly(present, now);
-        logInfo(absl::StrCat("event=upstreams count=", m_registry.directory().size(), " version=", update.version));
+        if (update.isRewound)
+            m_registry.keepOnlyFromCopy(present, now);
+        else
+            m_registry.keepOnly(present, now);
+        logInfo(absl::StrCat("event=upstreams count=", m_registry.directory().size(), " version=", update.position.version));
     }
     publishDirectory(now);
 }
 
-bool proxy_runtime::applyUpstream(const stored_row& row, const absl::StatusOr<upstream_record>& record, bool isLogged)
+bool proxy_runtime::applyUpstream(const stored_row& row, const absl::StatusOr<upstream_record>& record, const table_update& update, instant now)
 {
     if (!record.ok()) {
         m_metrics.add(event::UpstreamRowsRejected);
@@ -129,7 +132,8 @@
         return false;
     }
     const directory_entry& entry = record->entry;
-    if (m_registry.apply(*record) && isLogged)
+    const bool isApplied = update.isRewound ? m_registry.applyFromCopy(*record, now) : m_registry.apply(*record);
+    if (isApplied && !update.isFullTable)
         logInfo(absl::StrCat("event=upstream upstream=", row.key, " version=", row.version, " service=", entry.service, " address=", entry.address, " data_centre=", entry.dataCentre, " leaving=", entry.isLeaving ? "yes" : "no"));
     return true;
 }
--- a/Source/proxy_runtime.h
+++ b/Source/proxy_runtime.h
@@ -116,9 +116,9 @@
     std::uint64_t seed() const { return m_seed; }
 
 private:
-    // Takes over a row of the upstreams' table. Returns false if it could not be decoded. A whole table is logged as one
-    // event, single changes one by one. The caller holds m_registryMutex.
-    bool applyUpstream(const stored_row&, const absl::StatusOr<upstream_record>&, bool isLogged);
+    // Takes over a row of an update of the upstreams' table. Returns false if it could not be decoded. A whole table is
+    // logged as one event, single changes one by one. The caller holds m_registryMutex.
+    bool applyUpstream(const stored_row&, const absl::StatusOr<upstream_record>&, const table_update&, instant now);
     // Logs what a serving configuration says that has no valid meaning or no effect.
     void logRemarks(const serving_config&) const;
     // Publishes the directory of the registry. The caller holds m_registryMutex.
--- a/Source/store_reader.h
+++ b/Source/store_reader.h
@@ -16,10 +16,17 @@
 #include <array>
 #include <limits>
 #include <memory>
+#include <string>
 #include <thread>
 
 namespace almondmoor {
 
+// Returns the words by which log lines tell of a position. The era is left out if the store does not tell it.
+inline std::string positionFields(const store_position& it)
+{
+    return it.era == 0 ? absl::StrCat(" version=", it.version) : absl::StrCat(" era=", it.era, " version=", it.version);
+}
+
 // Result of reading all tables.
 struct store_reading {
     bool succeeded = false;
@@ -51,7 +58,7 @@
         follower_step step = (*this)[table].step(maxWait);
         if (step.hasUpdates || !step.succeeded || maxWait == duration::zero()) {
             logInfo(absl::StrCat("event=store-read table=", std::string(nameIn(followedTableNames, table)), " end=", step.succeeded ? "done" : "failed", " changes=", step.hasUpdates ? "yes" : "no",
-                " version=", (*this)[table].version(), " wait_ms=", wholeMilliseconds(maxWait), " took_ms=", wholeMilliseconds(presentInstant() - startedAt)));
+                positionFields((*this)[table].position()), " wait_ms=", wholeMilliseconds(maxWait), " took_ms=", wholeMilliseconds(presentInstant() - startedAt)));
         }
         return step;
     }
@@ -72,19 +79,19 @@
     {
         const follower_step upstreams = read(followed_table::Upstreams, wait);
         const instant respondedAt = presentInstant();
-        m_ledger.recordVersions(upstreams.versions);
+        const store_position known = (*this)[followed_table::Upstreams].position();
+        m_ledger.recordVersions(known.era, upstreams.versions);
         if (!upstreams.succeeded)
             return { false, respondedAt, upstreams.delay };
-        const std::uint64_t version = (*this)[followed_table::Upstreams].version();
         for (const followed_table table : { followed_table::ServingConfig, followed_table::Membership }) {
-            if (m_ledger.isCompleteUpTo(version) || (*this)[table].version() >= version)
+            if (m_ledger.isCompleteUpTo(known) || (*this)[table].position() >= known)
                 continue;
             const follower_step step = read(table, duration::zero());
             if (!step.succeeded)
                 return { false, respondedAt, step.delay };
-            m_ledger.recordVersions(step.versions);
+            m_ledger.recordVersions((*this)[table].position().era, step.versions);
         }
-        m_ledger.markCompleteUpTo(version);
+        m_ledger.markCompleteUpTo(known);
         return { true, respondedAt, upstreams.delay };
     }
 
@@ -93,7 +100,7 @@
     store_reading readInTurn()
     {
         instant respondedAt = distantPast;
-        std::uint64_t version = std::numeric_limits<std::uint64_t>::max();
+        store_position completeUpTo { std::numeric_limits<std::uint64_t>::max(), std::numeric_limits<std::uint64_t>::max() };
         for (std::size_t index = 0; index < m_followers.size(); ++index) {
             const std::size_t position = (m_firstTable + index) % m_followers.size();
             const auto table = static_cast<followed_table>(position);
@@ -104,30 +111,31 @@
             }
             if (index == 0)
                 respondedAt = presentInstant();
-            m_ledger.recordVersions(step.versions);
-            version = std::min(version, (*this)[table].version());
+            const store_position known = (*this)[table].position();
+            m_ledger.recordVersions(known.era, step.versions);
+            completeUpTo = std::min(completeUpTo, known);
         }
         m_firstTable = 0;
-        m_ledger.markCompleteUpTo(version);
+        m_ledger.markCompleteUpTo(completeUpTo);
         return { true, respondedAt, duration::zero() };
     }
 
-    // Returns the versions up to which the tables are known, or zero for a table that is not known.
-    table_versions knownVersions() const
+    // Returns the positions up to which the tables are known; the version is zero for a table that is not known.
+    table_positions knownPositions() const
     {
-        table_versions versions {};
+        table_positions positions {};
         for (std::size_t index = 0; index < m_followers.size(); ++index)
-            versions[index] = m_followers[index]->lacksTable() ? 0 : m_followers[index]->version();
-        return versions;
+            positions[index] = m_followers[index]->lacksTable() ? store_position {} : m_followers[index]->position();
+        return positions;
     }
 
-    // Returns the versions at which the tables last changed.
-    table_versions lastChangedVersions() const
+    // Returns the positions at which the tables last changed.
+    table_positions lastChanges() const
     {
-        table_versions versions {};
+        table_positions positions {};
         for (std::size_t index = 0; index < m_followers.size(); ++index)
-            versions[index] = m_followers[index]->lastChangedVersion();
-        return versions;
+            positions[index] = m_followers[index]->lastChanged();
+        return positions;
     }
 
 private:
--- a/Tests/Adapter/store_client_test.cxx
+++ b/Tests/Adapter/store_client_test.cxx
@@ -40,7 +40,7 @@
     const auto reading = it.client.readTable("servers");
     REQUIRE(reading.result == store_result::Done);
     CHECK(reading.rows.size() == rows);
-    CHECK(reading.version == rows);
+    CHECK(reading.position.version == rows);
     std::set<std::string> keys;
     for (const stored_row& row : reading.rows)
         keys.insert(row.key);
@@ -61,7 +61,7 @@
     REQUIRE(changed.result == store_result::Done);
     REQUIRE(changed.rows.size() == 1);
     CHECK(changed.rows[0].value == "two");
-    CHECK(changed.version == 2);
+    CHECK(changed.position.version == 2);
     it.store.remove("op", "config");
     const auto removed = it.client.readChanges("op", 2, std::chrono::seconds(5));
     REQUIRE(removed.rows.size() == 1);
--- a/Tests/Core/reader_choice_test.cxx
+++ b/Tests/Core/reader_choice_test.cxx
@@ -368,7 +368,7 @@
     reader_choice choice({}, "host-a");
     choice.recordNeighbour("host-b", store_confirmation { begin, { 1, 2, 3 } }, begin);
     REQUIRE(choice.latestReader(begin));
-    CHECK(choice.latestReader(begin)->confirmation.lastChangeVersions[1] == 2);
+    CHECK(choice.latestReader(begin)->confirmation.lastChanges[1].version == 2);
     choice.recordNeighbour("host-b", std::nullopt, begin + 10ms);
     CHECK_FALSE(choice.latestReader(begin + 10ms));
     CHECK(choice.shouldRead(begin + 10ms + reader_settings {}.maxStagger));
--- a/Tests/Core/table_follower_test.cxx
+++ b/Tests/Core/table_follower_test.cxx
@@ -27,7 +27,7 @@
                 if (duringCall)
                     duringCall();
                 if (responses.empty())
-                    return { store_result::Unreachable, {}, 0, absl::UnavailableError("the script has no further responses") };
+                    return { store_result::Unreachable, {}, {}, absl::UnavailableError("the script has no further responses") };
                 store_response response = responses.front();
                 responses.pop_front();
                 return response;
@@ -43,12 +43,12 @@
 
     store_response successfulResponse(std::uint64_t version, std::vector<stored_row> rows = {})
     {
-        return { store_result::Done, std::move(rows), version, absl::OkStatus() };
+        return { store_result::Done, std::move(rows), { 0, version }, absl::OkStatus() };
     }
 
     store_response failedResponse(store_result result)
     {
-        return { result, {}, 0, absl::UnavailableError("scripted") };
+        return { result, {}, {}, absl::UnavailableError("scripted") };
     }
 
     constexpr duration maxWait = std::chrono::seconds(20);
@@ -85,7 +85,7 @@
     (void)fixture.follower.step(maxWait);
     CHECK(fixture.follower.step(maxWait).succeeded);
     CHECK(fixture.store.script->calls == std::vector<std::string> { "table t", "changes t 7", "table t" });
-    CHECK(fixture.follower.version() == 50);
+    CHECK(fixture.follower.position().version == 50);
     REQUIRE(fixture.updates.size() == 2);
     CHECK(fixture.updates[1].isFullTable);
     CHECK(fixture.lostCount == 0);
@@ -136,9 +136,9 @@
         follower_fixture fixture;
         fixture.store.script->responses = { successfulResponse(7, { { "a", "1", 3, false } }) };
         (void)fixture.follower.step(maxWait);
-        const table_update update { false, false, { { "a", "2", expected.version, false } }, expected.after, expected.version };
+        const table_update update { false, false, { { "a", "2", expected.version, false } }, { 0, expected.after }, { 0, expected.version } };
         CHECK(fixture.follower.applyNeighbourUpdate(update) == expected.isApplied);
-        CHECK(fixture.follower.isBehind(expected.version) == (expected.version > fixture.follower.version()));
+        CHECK(fixture.follower.isBehind({ 0, expected.version }) == (expected.version > fixture.follower.position().version));
         CHECK(fixture.updates.size() == (expected.isApplied ? 2 : 1));
     }
 }
@@ -146,8 +146,8 @@
 TEST_CASE("a follower applies no changes from a neighbour before it has read the full table", "[follower]")
 {
     follower_fixture fixture;
-    CHECK_FALSE(fixture.follower.applyNeighbourUpdate({ false, false, { { "a", "1", 3, false } }, 0, 3 }));
-    CHECK(fixture.follower.isBehind(0));
+    CHECK_FALSE(fixture.follower.applyNeighbourUpdate({ false, false, { { "a", "1", 3, false } }, { 0, 0 }, { 0, 3 } }));
+    CHECK(fixture.follower.isBehind({ 0, 0 }));
     CHECK(fixture.updates.empty());
 }
 
@@ -172,10 +172,10 @@
         follower_fixture fixture;
         fixture.store.script->responses = it.responses;
         (void)fixture.follower.step(maxWait);
-        CHECK_FALSE(fixture.follower.applyNeighbourUpdate({ false, false, { { "c", "1", 11, false } }, 9, 12 }));
+        CHECK_FALSE(fixture.follower.applyNeighbourUpdate({ false, false, { { "c", "1", 11, false } }, { 0, 9 }, { 0, 12 } }));
         REQUIRE(reader.follower.fullTable());
         CHECK(fixture.follower.applyNeighbourUpdate(*reader.follower.fullTable()));
-        CHECK_FALSE(fixture.follower.isBehind(12));
+        CHECK_FALSE(fixture.follower.isBehind({ 0, 12 }));
         REQUIRE(fixture.follower.fullTable());
         const auto known = fixture.follower.fullTable()->rows;
         REQUIRE(known.size() == 2);
@@ -190,14 +190,14 @@
 {
     follower_fixture fixture;
     fixture.store.script->responses = { successfulResponse(7, { { "a", "1", 3, false } }), successfulResponse(9, { { "a", "2", 9, false } }), successfulResponse(12) };
-    CHECK_FALSE(fixture.follower.fullTable(0));
+    CHECK_FALSE(fixture.follower.fullTable({}));
     for (int read = 0; read < 3; ++read)
         (void)fixture.follower.step(maxWait);
-    CHECK(fixture.follower.version() == 12);
-    CHECK(fixture.follower.fullTable(0));
-    CHECK(fixture.follower.fullTable(8));
-    CHECK_FALSE(fixture.follower.fullTable(9));
-    CHECK_FALSE(fixture.follower.fullTable(12));
+    CHECK(fixture.follower.position().version == 12);
+    CHECK(fixture.follower.fullTable({}));
+    CHECK(fixture.follower.fullTable({ 0, 8 }));
+    CHECK_FALSE(fixture.follower.fullTable({ 0, 9 }));
+    CHECK_FALSE(fixture.follower.fullTable({ 0, 12 }));
 }
 
 TEST_CASE("a follower drops a response of the store that is older than a neighbour's update", "[follower]")
@@ -205,11 +205,11 @@
     follower_fixture fixture;
     fixture.store.script->responses = { successfulResponse(7), successfulResponse(8, { { "a", "old", 8, false } }) };
     (void)fixture.follower.step(maxWait);
-    fixture.store.script->duringCall = [&fixture] { CHECK(fixture.follower.applyNeighbourUpdate({ false, false, { { "a", "new", 9, false } }, 7, 9 })); };
+    fixture.store.script->duringCall = [&fixture] { CHECK(fixture.follower.applyNeighbourUpdate({ false, false, { { "a", "new", 9, false } }, { 0, 7 }, { 0, 9 } })); };
     const follower_step step = fixture.follower.step(maxWait);
     CHECK(step.succeeded);
     CHECK_FALSE(step.hasUpdates);
-    CHECK(fixture.follower.version() == 9);
+    CHECK(fixture.follower.position().version == 9);
     CHECK(fixture.updates.back().rows[0].value == "new");
 }
 
@@ -233,12 +233,84 @@
     for (const row& expected : rows) {
         INFO(expected.name);
         version_ledger ledger;
-        ledger.markCompleteUpTo(10);
-        ledger.recordVersions(expected.versions);
-        CHECK(ledger.isCompleteUpTo(expected.upTo) == expected.isComplete);
-        ledger.markCompleteUpTo(expected.upTo);
-        CHECK(ledger.isCompleteUpTo(expected.upTo));
+        ledger.markCompleteUpTo({ 0, 10 });
+        ledger.recordVersions(0, expected.versions);
+        CHECK(ledger.isCompleteUpTo({ 0, expected.upTo }) == expected.isComplete);
+        ledger.markCompleteUpTo({ 0, expected.upTo });
+        CHECK(ledger.isCompleteUpTo({ 0, expected.upTo }));
     }
 }
 
+TEST_CASE("a follower reads the table whole when the store has come back from an older copy, and never goes back to an earlier era", "[follower]")
+{
+    const auto ofEra = [](std::uint64_t era, store_response response) {
+        response.position.era = era;
+        return response;
+    };
+    struct row {
+        const char* name;
+        std::vector<store_response> afterwards;
+    };
+    const std::vector<row> rows {
+        { "the store does not have the version", { failedResponse(store_result::HistoryGone), ofEra(2, successfulResponse(8, { { "a", "copy", 3, false } })) } },
+        { "the version was given out again", { ofEra(2, successfulResponse(70, { { "b", "new", 70, false } })), ofEra(2, successfulResponse(70, { { "a", "copy", 3, false }, { "b", "new", 70, false } })) } },
+    };
+    for (const row& it : rows) {
+        INFO(it.name);
+        follower_fixture fixture;
+        fixture.store.script->responses = { ofEra(1, successfulResponse(60, { { "a", "lost", 55, false } })) };
+        (void)fixture.follower.step(maxWait);
+        CHECK_FALSE(fixture.updates.back().isRewound);
+        const table_update ofFirstEra = *fixture.follower.fullTable();
+        fixture.store.script->responses.assign(it.afterwards.begin(), it.afterwards.end());
+        CHECK(fixture.follower.step(maxWait).succeeded);
+        CHECK(fixture.updates.back().isFullTable);
+        CHECK(fixture.updates.back().isRewound);
+        CHECK(fixture.updates.back().rows[0].value == "copy");
+        const store_position known = fixture.follower.position();
+        CHECK(known.era == 2);
+        // What a neighbour read before the return, and a late response, change nothing.
+        CHECK_FALSE(fixture.follower.applyNeighbourUpdate(ofFirstEra));
+        CHECK_FALSE(fixture.follower.applyNeighbourUpdate({ false, false, { { "a", "lost", 90, false } }, { 1, 8 }, { 1, 90 } }));
+        CHECK_FALSE(fixture.follower.isBehind({ 1, 99 }));
+        CHECK(fixture.follower.fullTable({ 1, 99 }));
+        fixture.store.script->responses = { ofEra(1, successfulResponse(99, { { "a", "lost", 99, false } })) };
+        CHECK_FALSE(fixture.follower.step(maxWait).succeeded);
+        CHECK(fixture.follower.position() == known);
+        // A neighbour of the version before tells no era; a store without eras goes on with the known one.
+        CHECK(fixture.follower.applyNeighbourUpdate({ false, false, { { "c", "1", 98, false } }, { 0, known.version }, { 0, 98 } }));
+        fixture.store.script->responses = { successfulResponse(99) };
+        CHECK(fixture.follower.step(maxWait).succeeded);
+        CHECK(fixture.follower.position() == store_position { 2, 99 });
+    }
+}
+
+TEST_CASE("a whole table of a later era replaces one of an earlier era whatever its version, and changes of it do not", "[follower]")
+{
+    follower_fixture fixture;
+    fixture.store.script->responses = { successfulResponse(60, { { "a", "lost", 55, false } }) };
+    (void)fixture.follower.step(maxWait);
+    CHECK(fixture.follower.isBehind({ 2, 8 }));
+    CHECK_FALSE(fixture.follower.applyNeighbourUpdate({ false, false, { { "a", "new", 9, false } }, { 2, 8 }, { 2, 9 } }));
+    CHECK(fixture.follower.applyNeighbourUpdate({ true, false, { { "a", "copy", 3, false } }, {}, { 2, 8 } }));
+    CHECK(fixture.updates.back().isRewound);
+    CHECK_FALSE(fixture.follower.isBehind({ 2, 8 }));
+    CHECK(fixture.follower.applyNeighbourUpdate({ false, false, { { "a", "new", 9, false } }, { 2, 8 }, { 2, 9 } }));
+}
+
+TEST_CASE("a version ledger keeps the eras of the store apart", "[follower]")
+{
+    version_ledger ledger;
+    ledger.markCompleteUpTo({ 1, 60 });
+    CHECK_FALSE(ledger.isCompleteUpTo({ 2, 8 }));
+    ledger.recordVersions(1, { 61 });
+    ledger.recordVersions(2, { 9 });
+    CHECK_FALSE(ledger.isCompleteUpTo({ 2, 9 }));
+    ledger.markCompleteUpTo({ 2, 8 });
+    ledger.recordVersions(2, { 9 });
+    CHECK(ledger.isCompleteUpTo({ 2, 9 }));
+    ledger.markCompleteUpTo({ 1, 99 });
+    CHECK_FALSE(ledger.isCompleteUpTo({ 2, 10 }));
+}
+
 } // namespace almondmoor
--- a/Tests/Core/upstream_registry_test.cxx
+++ b/Tests/Core/upstream_registry_test.cxx
@@ -72,4 +72,52 @@
     CHECK(registry.directory().count("u0") == 0);
 }
 
+// Guards against upstreams that have left and get requests again because the store came back from a copy that holds their
+// rows, and against upstreams that are lost because the copy does not hold theirs.
+TEST_CASE("rows of an older copy bring back no upstream that has left, and their lack removes none that runs", "[book][rewind]")
+{
+    const upstream_registry_settings settings;
+    upstream_registry registry(settings);
+    for (const char* id : { "left", "restored", "born", "stays" })
+        registry.apply(recordOf(id, 1));
+    registry.apply(recordOf("leaving", 1, true));
+    CHECK(registry.removeAll({ "left", "restored" }, begin));
+
+    // The copy holds the rows of those that left, as they were, and lacks that of the newest.
+    CHECK_FALSE(registry.applyFromCopy(recordOf("left", 1), begin));
+    CHECK_FALSE(registry.applyFromCopy(recordOf("restored", 1), begin));
+    CHECK_FALSE(registry.applyFromCopy(recordOf("leaving", 1), begin));
+    CHECK(registry.applyFromCopy(recordOf("stays", 1), begin));
+    CHECK_FALSE(registry.keepOnlyFromCopy({ "left", "restored", "leaving", "stays" }, begin));
+    CHECK(registry.directory().size() == 3);
+    CHECK(registry.directory().at("leaving").isLeaving);
+    CHECK(registry.directory().count("born") == 1);
+
+    // The newest writes its row again; nobody renews the row of the one that has left, so the store removes it.
+    registry.apply(recordOf("born", 1));
+    registry.removeAll({ "left", "leaving" }, begin + std::chrono::seconds(4));
+    registry.expire(begin + settings.removalGracePeriod);
+    CHECK(registry.directory().count("born") == 1);
+    CHECK(registry.directory().count("restored") == 0);
+    // A row that still stands later is renewed by an upstream that runs.
+    CHECK(registry.expire(begin + settings.staleRowTtl));
+    CHECK(registry.directory().count("restored") == 1);
+    CHECK(registry.directory().count("left") == 0);
+    CHECK(registry.directory().count("leaving") == 0);
+    // A new start of an upstream that has left is another one.
+    CHECK(registry.applyFromCopy(recordOf("left", 2), begin));
+}
+
+TEST_CASE("an upstream that an older copy lacks and that does not write its row again is removed after the grace period", "[book][rewind]")
+{
+    const upstream_registry_settings settings;
+    upstream_registry registry(settings);
+    for (const char* id : { "gone", "a", "b", "c" })
+        registry.apply(recordOf(id, 1));
+    CHECK_FALSE(registry.keepOnlyFromCopy({ "a", "b", "c" }, begin));
+    CHECK(registry.directory().count("gone") == 1);
+    CHECK(registry.expire(begin + settings.removalGracePeriod));
+    CHECK(registry.directory().count("gone") == 0);
+}
+
 } // namespace almondmoor
--- a/Tests/Proxy/directory_test.cxx
+++ b/Tests/Proxy/directory_test.cxx
@@ -47,7 +47,7 @@
             update.isFirstAfterOutage = isFirstAfterOutage;
             for (const row_change& it : changes)
                 update.rows.push_back({ absl::StrCat("u", it.upstream), "", ++m_version, it.kind == change_kind::Removed });
-            update.version = m_version;
+            update.position.version = m_version;
             m_runtime.applyUpstreams(update, [](const stored_row& row, instant) -> absl::StatusOr<upstream_record> {
                 upstream_record record;
                 record.entry = { row.key, "127.0.0.1:1", "orders", "z1", 3, false };
--- a/Tests/Proxy/fleet_feeds_test.cxx
+++ b/Tests/Proxy/fleet_feeds_test.cxx
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <set>
 #include <thread>
+#include <tuple>
 #include <vector>
 
 namespace almondmoor {
@@ -38,15 +39,44 @@
         store_response read(const std::string& table, std::uint64_t after, duration wait)
         {
             std::unique_lock lock(m_mutex);
-            store_response reading { store_result::Done, {}, 0, absl::OkStatus() };
+            if (after > m_version)
+                return { store_result::HistoryGone, {}, { m_era, 0 }, absl::OutOfRangeError("unknown version") };
+            store_response reading { store_result::Done, {}, {}, absl::OkStatus() };
             m_changed.wait_for(lock, wait, [&] {
                 reading.rows = changedRows(table, after);
                 return !reading.rows.empty();
             });
-            reading.version = m_version;
+            reading.position = { m_era, m_version };
             return reading;
         }
 
+        // Keeps a copy of all rows, from which comeBackFromCopy() goes on.
+        void takeCopy()
+        {
+            const std::lock_guard lock(m_mutex);
+            m_copy = { m_rows, m_version };
+        }
+        // All that was written since the copy is gone, and its versions are given out again.
+        void comeBackFromCopy()
+        {
+            const std::lock_guard lock(m_mutex);
+            std::tie(m_rows, m_version) = m_copy;
+            ++m_era;
+            m_changed.notify_all();
+        }
+        // Makes the store unresponsive for all hosts, or ends that.
+        void setAway(bool isAway)
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isAway = isAway;
+        }
+        bool hasRow(const std::string& table, const std::string& key)
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto found = m_rows.find({ table, key });
+            return found != m_rows.end() && !found->second.isRemoved;
+        }
+
         void countCall(unsigned host)
         {
             const std::lock_guard lock(m_mutex);
@@ -82,7 +112,7 @@
         bool isUnresponsive(unsigned host, const std::string& table)
         {
             const std::lock_guard lock(m_mutex);
-            return m_unresponsiveHosts.count(host) > 0 || m_unresponsiveTables.count(table) > 0;
+            return m_isAway || m_unresponsiveHosts.count(host) > 0 || m_unresponsiveTables.count(table) > 0;
         }
 
     private:
@@ -98,12 +128,16 @@
 
         std::mutex m_mutex;
         std::condition_variable m_changed;
-        std::map<std::pair<std::string, std::string>, stored_row> m_rows;
+        using row_map = std::map<std::pair<std::string, std::string>, stored_row>;
+        row_map m_rows;
+        std::pair<row_map, std::uint64_t> m_copy;
+        bool m_isAway = false;
         std::map<unsigned, unsigned> m_calls;
         std::set<unsigned> m_unresponsiveHosts;
         std::set<std::string> m_unresponsiveTables;
         std::atomic<duration> m_responseTime { duration::zero() };
         std::uint64_t m_version = 0;
+        std::uint64_t m_era = 1;
     };
 
     // One host's access to the store.
@@ -122,13 +156,13 @@
                     return response;
             }
             std::this_thread::sleep_for(callTimeout);
-            return { store_result::Unknown, {}, 0, absl::DeadlineExceededError("silent") };
+            return { store_result::Unknown, {}, {}, absl::DeadlineExceededError("silent") };
         }
         store_response writeRow(const std::string& table, const std::string& key, const std::string& value)
         {
             rows->countCall(host);
             rows->write(table, key, value);
-            return { store_result::Done, {}, 0, absl::OkStatus() };
+            return { store_result::Done, {}, {}, absl::OkStatus() };
         }
     };
 
@@ -422,6 +456,78 @@
     CHECK(fleet.allReach([](test_host& it) { return it.configVersion() == 1 && it.usesUpstream("u0") && it.runtime.isReady(); }));
 }
 
+// Guards against hosts that take the versions of a store that came back from an older copy for those that they know, and so
+// miss what is written then, for as long as they run; and against a copy that brings back what was withdrawn.
+TEST_CASE("after the store came back from an older copy all hosts follow it, and nothing older is in force again", "[feeds][rewind]")
+{
+    struct row {
+        const char* name;
+        // Changes of other tables between the copy and the return, and right after the return.
+        unsigned lostWrites;
+        unsigned newWrites;
+        unsigned drills;
+        bool restartsHost;
+    };
+    const std::vector<row> rows {
+        { "the versions given out again are below the known ones", 50, 0, 1, false },
+        { "the counter has passed the known versions before the first call", 5, 60, 1, false },
+        { "the counter ends at the known versions", 0, 2, 1, false },
+        { "two drills in a row", 20, 5, 2, false },
+        { "a host starts right after the return", 50, 0, 1, true },
+    };
+    // Times in which a host that reaches others must be in touch with them, and know a configuration.
+    constexpr duration contactTime = 3s;
+    constexpr duration applyTime = 2500ms;
+    for (const row& it : rows) {
+        INFO(it.name);
+        test_fleet fleet(4);
+        fleet.addHost("z2");
+        fleet.rows->write("upstreams", "u1", "ready");
+        REQUIRE(fleet.allReach([](test_host& host) { return host.configVersion() == 1 && host.usesUpstream("u0") && host.usesUpstream("u1"); }));
+        fleet.rows->takeCopy();
+        fleet.addHost();
+        REQUIRE(fleet.allReach([](test_host& host) { return host.configVersion() == 1 && host.usesUpstream("u1"); }));
+        fleet.rows->write("plans", "plan", "2");
+        fleet.rows->write("upstreams", "u1", "", true);
+        fleet.rows->write("upstreams", "u2", "ready");
+        REQUIRE(fleet.allReach([](test_host& host) { return host.configVersion() == 2 && !host.usesUpstream("u1") && host.usesUpstream("u2"); }));
+        for (unsigned index = 0; index < it.lostWrites; ++index)
+            fleet.rows->write("other", absl::StrCat("k", index), "x");
+
+        unsigned version = 2;
+        for (unsigned drill = 0; drill < it.drills; ++drill) {
+            fleet.rows->setAway(true);
+            std::this_thread::sleep_for(callTimeout);
+            fleet.rows->comeBackFromCopy();
+            for (unsigned index = 0; index < it.newWrites; ++index)
+                fleet.rows->write("other", absl::StrCat("n", index), "x");
+            fleet.rows->setAway(false);
+            if (it.restartsHost)
+                fleet.restartHost(1);
+            // The operator and the upstreams write again, and then the operator writes something new.
+            fleet.rows->write("plans", "plan", absl::StrCat(version));
+            fleet.rows->write("upstreams", "u2", "ready");
+            fleet.rows->write("plans", "plan", absl::StrCat(++version));
+            const instant writtenAt = presentInstant();
+            bool hasOlder = false;
+            const auto follows = [&](test_host& host) {
+                const bool isStarting = it.restartsHost && &host == &fleet.host(1);
+                hasOlder = hasOlder || (!isStarting && (host.configVersion() + 1 < version || host.usesUpstream("u1") || !host.usesUpstream("u2")));
+                return host.configVersion() == version;
+            };
+            CHECK(fleet.allReach(follows));
+            CHECK(presentInstant() - writtenAt <= contactTime + applyTime);
+            CHECK_FALSE(hasOlder);
+            // The store removes the copy's row of the upstream that has left, since nobody renews it.
+            fleet.rows->write("upstreams", "u1", "", true);
+        }
+        // What a later change needs, which the hosts read as before the drill.
+        fleet.rows->write("upstreams", "u3", "ready");
+        CHECK(fleet.allReach([](test_host& host) { return host.usesUpstream("u3") && host.usesUpstream("u2"); }));
+        CHECK(fleet.allReach([&](test_host&) { return fleet.rows->hasRow("roster", "h5"); }));
+    }
+}
+
 // Guards against parts of a host's report that are collected and never sent.
 TEST_CASE("the requests for a service that a host lost count at its neighbours", "[feeds]")
 {
--- a/Tests/Serve/neighbour_codec_test.cxx
+++ b/Tests/Serve/neighbour_codec_test.cxx
@@ -73,19 +73,19 @@
 
 TEST_CASE("a request for a table and the reading that answers it keep their content", "[codec]")
 {
-    const auto request = decodeDatagram(encodeRequest({ followed_table::Upstreams, "127.0.0.1:1", 17 }), begin);
+    const auto request = decodeDatagram(encodeRequest({ followed_table::Upstreams, "127.0.0.1:1", { 3, 17 } }), begin);
     REQUIRE(request);
     CHECK(std::get<table_request>(*request).table == followed_table::Upstreams);
     CHECK(std::get<table_request>(*request).address == "127.0.0.1:1");
-    CHECK(std::get<table_request>(*request).knownVersion == 17);
+    CHECK(std::get<table_request>(*request).known == store_position { 3, 17 });
     for (const bool isForDataCentre : { false, true }) {
-        table_reading sent { followed_table::ServingConfig, { true, false, { { "plan", "2", 21, false } }, 0, 22 }, isForDataCentre };
+        table_reading sent { followed_table::ServingConfig, { true, false, { { "plan", "2", 21, false } }, { 3, 0 }, { 3, 22 } }, isForDataCentre };
         const auto datagram = decodeDatagram(encodeReading(sent), begin);
         REQUIRE(datagram);
         const auto& reading = std::get<table_reading>(*datagram);
         CHECK(reading.isForDataCentre == isForDataCentre);
         CHECK(reading.update.isFullTable);
-        CHECK(reading.update.version == 22);
+        CHECK(reading.update.position == store_position { 3, 22 });
         REQUIRE(reading.update.rows.size() == 1);
         CHECK(reading.update.rows[0].value == "2");
     }
