Tests: A store that comes back from an older copy, over HTTP and with processes

The stand-in of the store takes a copy, comes back from it, tells its era and answers 410 for versions that it lacks.

--- a/Tests/Adapter/store_client_test.cxx
+++ b/Tests/Adapter/store_client_test.cxx
@@ -117,6 +117,24 @@
     CHECK(it.client.readChanges("op", 1, std::chrono::milliseconds(10)).result == store_result::HistoryGone);
 }
 
+TEST_CASE("each reading tells the era of the store, and a version that an older copy lacks is reported as gone", "[store]")
+{
+    store_fixture it;
+    it.store.write("op", "config", "one");
+    it.store.takeCopy();
+    it.store.write("op", "config", "two");
+    const store_position known = it.client.readTable("op").position;
+    CHECK(known == store_position { 1, 2 });
+    it.store.comeBackFromCopy();
+    CHECK(it.client.readChanges("op", known.version, std::chrono::milliseconds(10)).result == store_result::HistoryGone);
+    const auto whole = it.client.readTable("op");
+    CHECK(whole.position == store_position { 2, 1 });
+    REQUIRE(whole.rows.size() == 1);
+    CHECK(whole.rows[0].value == "one");
+    it.store.write("op", "config", "three");
+    CHECK(it.client.readChanges("op", known.version, std::chrono::milliseconds(10)).position == store_position { 2, 2 });
+}
+
 TEST_CASE("a write whose response is lost is reported as unknown although it took effect", "[store]")
 {
     store_fixture it;
--- a/Tests/Processes/proxy_process_test.cxx
+++ b/Tests/Processes/proxy_process_test.cxx
@@ -136,6 +136,37 @@
     CHECK(becomesTrueWithin(3s, [&] { return fleet.sendRequest(0) == 401 && fleet.sendRequest(1) == 401; }));
 }
 
+// Guards against hosts that follow nothing any more, or use a withdrawn key again, once the store has come back from an
+// older copy.
+TEST_CASE("a host follows a store that comes back from an older copy, and a withdrawn key stays withdrawn", "[process]")
+{
+    // Time in which hosts are in touch with the store again, and time for a configuration to come into force.
+    constexpr duration contactTime = 3s;
+    constexpr duration applyTime = 2500ms;
+    proxy_processes fleet(2);
+    fleet.start(0);
+    fleet.start(1);
+    REQUIRE(fleet.waitUntilReady(0));
+    REQUIRE(fleet.waitUntilReady(1));
+    fleet.store().takeCopy();
+    fleet.writeConfig(5, "other");
+    for (int index = 0; index < 50; ++index)
+        fleet.store().write("other", absl::StrCat("k", index), "x");
+    REQUIRE(becomesTrueWithin(applyTime, [&] { return fleet.sendRequest(0) == 401 && fleet.sendRequest(1) == 401; }));
+    fleet.store().setFaults({ .refusalStatus = 503 });
+    std::this_thread::sleep_for(1s);
+    fleet.store().comeBackFromCopy();
+    fleet.store().setFaults({});
+    const auto isKeyUsed = [&fleet] { return fleet.sendRequest(0) != 401 || fleet.sendRequest(1) != 401; };
+    CHECK_FALSE(becomesTrueWithin(contactTime, isKeyUsed));
+    fleet.writeConfig(5, "other");
+    fleet.writeConfig(7, "sesame");
+    CHECK(becomesTrueWithin(applyTime, [&] { return fleet.sendRequest(0) == 200 && fleet.sendRequest(1) == 200; }));
+    CHECK(fleet.takeOutput(0).find("event=store-rewound table=plan era=2") != std::string::npos);
+    CHECK_FALSE(fleet.store().value("hosts", "h0").empty());
+    CHECK_FALSE(fleet.store().value("hosts", "h1").empty());
+}
+
 TEST_CASE("hosts that are killed right after a configuration change restart with the new configuration", "[process]")
 {
     proxy_processes fleet(3);
--- a/Tests/StandIns/stand_in_store.h
+++ b/Tests/StandIns/stand_in_store.h
@@ -5,6 +5,7 @@
 
 #include "http_listener.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -49,6 +50,11 @@
     // Discards the change history, so that followers must read the tables whole again.
     void compact();
 
+    // Keeps a copy of all rows, from which comeBackFromCopy() goes on: all that was written since is gone, its versions are
+    // given out again, and the era, which is told in all responses, rises by one.
+    void takeCopy();
+    void comeBackFromCopy();
+
     // Returns the value of a row, or an empty string.
     std::string value(const std::string& table, const std::string& key) const;
 
@@ -78,6 +84,9 @@
     store_faults m_faults;
     std::map<std::string, table_rows> m_tables;
     std::uint64_t m_version = 0;
+    std::atomic<std::uint64_t> m_era { 1 };
+    std::map<std::string, table_rows> m_copiedTables;
+    std::uint64_t m_copiedVersion = 0;
     // Changes can be read from this version on; the history before it was discarded.
     std::uint64_t m_oldestHistoryVersion = 0;
     std::size_t m_calls = 0;
