Core: Write out the comparisons of store positions

The linter takes the defaulted three-way comparison for a use of 0 as a null pointer, and finds a lambda of a test that captures a constant without saying so.

--- a/Source/Core/store_position.h
+++ b/Source/Core/store_position.h
@@ -6,8 +6,8 @@
 
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace almondmoor {
 
@@ -16,7 +16,11 @@
     std::uint64_t era = 0;
     std::uint64_t version = 0;
 
-    auto operator<=>(const store_position&) const = default;
+    bool operator==(const store_position&) const = default;
+    bool operator<(const store_position& other) const { return std::tie(era, version) < std::tie(other.era, other.version); }
+    bool operator>(const store_position& other) const { return other < *this; }
+    bool operator<=(const store_position& other) const { return !(other < *this); }
+    bool operator>=(const store_position& other) const { return !(*this < other); }
 };
 
 // Returns a position that was told without an era as one of a known era.
--- a/Tests/Serve/silent_connection_test.cxx
+++ b/Tests/Serve/silent_connection_test.cxx
@@ -69,7 +69,7 @@
     severable_relay relay(localAddress(2), localAddress(1));
     users_platform::store_client client({ localAddress(2), storeTimeout, {} });
     REQUIRE(client.readTable("op").result == store_result::Done);
-    auto waiting = std::async(std::launch::async, [&client] { return client.readChanges("op", 1, wait); });
+    auto waiting = std::async(std::launch::async, [&client, wait] { return client.readChanges("op", 1, wait); });
     REQUIRE(store.waitForCalls(2, 5s));
     relay.sever();
     const instant severedAt = presentInstant();
