--- a/review/stand_ins_3/stand_ins.h
+++ b/review/stand_ins_3/stand_ins.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -71,8 +72,12 @@
     upstreams(store&, std::string service, unsigned count, upstream_settings);
     void step();
     void setSettings(const upstream_settings& settings) { m_settings = settings; }
+    // From now on, the first upstreams reset the connection instead of answering a part of their requests, after they ran
+    // them. A count of zero ends that.
+    void setFailing(unsigned count, double share);
     unsigned runCount() const { return m_runs; }
     unsigned shedCount() const { return m_sheds; }
+    unsigned resetCount() const { return m_resets; }
     unsigned openCount() const { return static_cast<unsigned>(m_connections.size()); }
 
 private:
@@ -107,6 +112,10 @@
     double m_announceAt = 0;
     unsigned m_runs = 0;
     unsigned m_sheds = 0;
+    unsigned m_resets = 0;
+    unsigned m_failingCount = 0;
+    double m_failingShare = 0;
+    std::mt19937 m_random { 1 };
 };
 
 struct host_settings {
