--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for name in slow_uploads alike_requests; do
+for name in slow_uploads alike_requests poison_again; do
     g++ -std=c++20 -O2 -Wall -Wextra -o "target/review-3/$name" review/stand_ins_3/stand_ins.cxx "review/stand_ins_3/$name.cxx" -pthread
 done
--- a/review/stand_ins_3/stand_ins.cxx
+++ b/review/stand_ins_3/stand_ins.cxx
@@ -144,6 +144,17 @@
     return result;
 }
 
+int listenAt(const std::string& address)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in to = socketAddress(address);
+    if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0 || ::listen(descriptor, 1024) != 0)
+        throw std::runtime_error("cannot listen again at " + address);
+    return descriptor;
+}
+
 std::string freeAddress()
 {
     const listening_socket it = listenOnFreePort();
@@ -274,7 +285,7 @@
     upstream_row& it = m_upstreams[index];
     m_store.write("servers", "i-" + m_service + "-" + std::to_string(index),
         R"({"address":")" + it.socket.address + R"(","info":{"service":")" + m_service + R"(","version":"v1","zone":"z1","slots":)" + std::to_string(m_settings.slots)
-            + R"(},"status":{"state":"ready","sequence":)" + std::to_string(++it.sequence) + R"(,"cold_remaining_ms":0},"born":1})");
+            + R"(},"status":{"state":"ready","sequence":)" + std::to_string(++it.sequence) + R"(,"cold_remaining_ms":0},"born":)" + std::to_string(it.born) + "}");
 }
 
 bool upstreams::beginRequest(connection& it, std::size_t headBytes, double at)
@@ -284,6 +295,9 @@
     it.id = headerValue(head, "X-Almondmoor-Request-Id");
     it.bodyLeft = length.empty() ? 0 : std::stoull(length);
     it.isReading = true;
+    it.isPoison = !m_poison.empty() && head.substr(0, head.find("\r\n")).find(m_poison) != std::string::npos;
+    if (it.isPoison)
+        m_poisonArrivals.push_back(at);
     it.head.erase(0, headBytes);
     const std::size_t already = std::min<std::size_t>(it.head.size(), it.bodyLeft);
     it.bodyLeft -= already;
@@ -322,6 +336,10 @@
         if (at < it.answerAt)
             return true;
         ++m_runs;
+        if (it.isPoison) {
+            m_upstreams[it.upstream].isDown = true;
+            return true;
+        }
         if (it.upstream < m_failingCount && std::uniform_real_distribution<double>(0, 1)(m_random) < m_failingShare) {
             ++m_resets;
             const linger reset { 1, 0 };
@@ -360,15 +378,49 @@
     m_failingShare = share;
 }
 
+void upstreams::setPoison(std::string text, double downS)
+{
+    m_poison = std::move(text);
+    m_downS = downS;
+}
+
+// Closes the ports of upstreams that have just crashed, and opens those of upstreams that are back.
+void upstreams::restart(double at)
+{
+    for (unsigned index = 0; index < m_upstreams.size(); ++index) {
+        upstream_row& it = m_upstreams[index];
+        if (it.isDown && it.upAt == 0) {
+            it.upAt = at + m_downS;
+            it.active = 0;
+            ::close(it.socket.descriptor);
+            it.socket.descriptor = -1;
+            m_crashes.push_back(at);
+        } else if (it.isDown && at >= it.upAt) {
+            it.isDown = false;
+            it.upAt = 0;
+            it.sequence = 0;
+            ++it.born;
+            it.socket.descriptor = listenAt(it.socket.address);
+            setNonBlocking(it.socket.descriptor);
+            announce(index);
+        }
+    }
+}
+
 void upstreams::step()
 {
     const double at = now();
+    restart(at);
     if (at >= m_announceAt) {
         m_announceAt = at + heartbeatS;
-        for (unsigned index = 0; index < m_upstreams.size(); ++index)
-            announce(index);
+        for (unsigned index = 0; index < m_upstreams.size(); ++index) {
+            if (!m_upstreams[index].isDown)
+                announce(index);
+        }
     }
     for (unsigned index = 0; index < m_upstreams.size(); ++index) {
+        if (m_upstreams[index].isDown)
+            continue;
         for (int descriptor = ::accept4(m_upstreams[index].socket.descriptor, nullptr, nullptr, SOCK_CLOEXEC); descriptor >= 0; descriptor = ::accept4(m_upstreams[index].socket.descriptor, nullptr, nullptr, SOCK_CLOEXEC)) {
             setNonBlocking(descriptor);
             m_connections.push_back(std::make_unique<connection>());
@@ -377,10 +429,15 @@
         }
     }
     std::erase_if(m_connections, [&](const auto& it) {
-        if (stepConnection(*it, at))
+        const bool hadCrashed = m_upstreams[it->upstream].isDown;
+        if (!hadCrashed && stepConnection(*it, at))
             return false;
-        if (it->isReading)
+        if (hadCrashed) {
+            const linger reset { 1, 0 };
+            setsockopt(it->descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        } else if (it->isReading) {
             --m_upstreams[it->upstream].active;
+        }
         ::close(it->descriptor);
         return true;
     });
--- a/review/stand_ins_3/stand_ins.h
+++ b/review/stand_ins_3/stand_ins.h
@@ -25,6 +25,9 @@
 };
 listening_socket listenOnFreePort();
 
+// Listens at an address at which this program listened before.
+int listenAt(const std::string& address);
+
 // Returns an address of 127.0.0.1 whose port is free.
 std::string freeAddress();
 
@@ -75,6 +78,12 @@
     // From now on, the first upstreams reset the connection instead of answering a part of their requests, after they ran
     // them. A count of zero ends that.
     void setFailing(unsigned count, double share);
+    // From now on, a request whose target holds this text crashes the upstream that runs it: all its connections are reset
+    // and its port is closed. It starts again after some seconds.
+    void setPoison(std::string text, double downS);
+    // When each request with the text began to reach an upstream, and when each upstream crashed.
+    const std::vector<double>& poisonArrivals() const { return m_poisonArrivals; }
+    const std::vector<double>& crashes() const { return m_crashes; }
     unsigned runCount() const { return m_runs; }
     unsigned shedCount() const { return m_sheds; }
     unsigned resetCount() const { return m_resets; }
@@ -89,6 +98,7 @@
         std::uint64_t bodyLeft = 0;
         bool isChunked = false;
         bool isReading = false;
+        bool isPoison = false;
         double readAt = 0;
         double answerAt = 0;
         std::string out;
@@ -97,8 +107,12 @@
         listening_socket socket;
         unsigned active = 0;
         unsigned sequence = 1;
+        unsigned born = 1;
+        bool isDown = false;
+        double upAt = 0;
     };
 
+    void restart(double at);
     void announce(unsigned index);
     bool stepConnection(connection&, double at);
     bool beginRequest(connection&, std::size_t headBytes, double at);
@@ -116,6 +130,10 @@
     unsigned m_failingCount = 0;
     double m_failingShare = 0;
     std::mt19937 m_random { 1 };
+    std::string m_poison;
+    double m_downS = 0;
+    std::vector<double> m_poisonArrivals;
+    std::vector<double> m_crashes;
 };
 
 struct host_settings {
