--- a/review/stand_ins_3/poison_again.cxx
+++ b/review/stand_ins_3/poison_again.cxx
@@ -1,5 +1,8 @@
-// Four hosts serve orders. One request crashes each upstream that runs it and comes again at all hosts, once a second. The
-// program counts how often it reaches upstreams later than contact_ms after it has crashed the third one.
+// Four hosts serve orders. One request crashes each upstream that runs it and comes again at all hosts. The program counts
+// how often it reaches upstreams later than contact_ms after it has crashed the third one.
+//
+// Usually the request comes once a second for longer than a minute. With the word "kill", it comes twice, 15 s apart, and
+// all hosts are killed and started again in between.
 
 #include "stand_ins.h"
 
@@ -21,10 +24,10 @@
 constexpr double downS = 2;
 constexpr double contactS = 3;
 constexpr double orderIntervalS = 0.25;
-constexpr double poisonIntervalS = 1;
 // Times since the start of the traffic.
 constexpr double poisonAt = 5;
-constexpr double endAt = poisonAt + 75;
+constexpr double killAt = poisonAt + 5;
+constexpr double startAgainAt = killAt + 1;
 constexpr unsigned allowedRetries = 3;
 constexpr std::size_t bodyBytes = 4000;
 
@@ -56,11 +59,14 @@
 
 int main(int count, char** arguments)
 {
-    if (count != 3) {
-        std::cerr << "usage: poison_again TROUBLE RECORD, in the repository's root" << std::endl;
+    const bool killsHosts = count == 4 && std::string(arguments[3]) == "kill";
+    if (count != 3 && !killsHosts) {
+        std::cerr << "usage: poison_again TROUBLE RECORD [kill], in the repository's root" << std::endl;
         return 2;
     }
     const bool hasTrouble = std::string(arguments[1]) != "0";
+    const double poisonIntervalS = killsHosts ? 15 : 1;
+    const double endAt = poisonAt + (killsHosts ? 20 : 75);
     record log(arguments[2]);
     store platform;
     platform.write("op", "config", config());
@@ -82,7 +88,7 @@
         }
     }
     log.add("all hosts are ready");
-    if (hasTrouble)
+    if (hasTrouble || killsHosts)
         servers.setPoison("/poison", downS);
     const double start = now();
     std::vector<std::unique_ptr<client>> clients;
@@ -99,9 +105,23 @@
     unsigned number = 0;
     double nextPoisonAt = start + poisonAt;
     std::size_t loggedArrivals = 0;
+    bool hasKilled = !killsHosts || !hasTrouble;
+    bool hasStartedAgain = hasKilled;
     while (now() < start + endAt) {
         servers.step();
         const double at = now();
+        if (!hasKilled && at >= start + killAt) {
+            hasKilled = true;
+            for (const auto& it : hosts)
+                it->kill();
+            log.add("all hosts are killed");
+        }
+        if (!hasStartedAgain && at >= start + startAgainAt) {
+            hasStartedAgain = true;
+            for (const auto& it : hosts)
+                it->start(false);
+            log.add("all hosts are started again");
+        }
         for (unsigned index = 0; index < clientCount; ++index) {
             if (clients[index]->isBusy()) {
                 if (clients[index]->step())
--- a/review/stand_ins_3/stand_ins.cxx
+++ b/review/stand_ins_3/stand_ins.cxx
@@ -539,6 +539,12 @@
     m_out = request;
     m_sent = 0;
     m_in.clear();
+    char byte = 0;
+    // The host may have closed the connection since the last answer.
+    if (m_descriptor >= 0 && (::recv(m_descriptor, &byte, 1, MSG_PEEK) >= 0 || errno != EAGAIN)) {
+        ::close(m_descriptor);
+        m_descriptor = -1;
+    }
     if (m_descriptor >= 0)
         return;
     m_descriptor = connectTo(m_address);
