--- a/review/stand_ins_3/stand_ins.cxx
+++ b/review/stand_ins_3/stand_ins.cxx
@@ -12,6 +12,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -470,6 +471,8 @@
     m_process = ::fork();
     if (m_process != 0)
         return;
+    // A host must not outlive this program.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     std::vector<char*> environment;
     environment.reserve(variables.size() + 1);
     for (const std::string& it : variables)
